--- /dev/null
+++ b/choice/api.go
@@ -0,0 +1,388 @@
+package choice
+
+import "time"
+
+// A WorkerID names a worker. It carries no meaning beyond identity and order.
+type WorkerID uint64
+
+// A RequestID names one try of a client.
+type RequestID uint64
+
+// A FunctionID names a function (a model, a handler): what a copy is loaded of.
+type FunctionID uint64
+
+// Effect says what running a request twice would do. The zero value is not valid.
+type Effect int
+
+const (
+	Safe   Effect = iota + 1 // may run any number of times
+	Keyed                    // a group of workers drops repeats for a while
+	Unsafe                   // must never run twice
+)
+
+// Scope says which workers drop the repeats of a keyed request. The zero value is not valid.
+type Scope int
+
+const (
+	AllWorkers Scope = iota + 1 // any worker
+	SameZone                    // the workers of one zone
+	SameGroup                   // the workers of one group
+)
+
+// A Class is a kind of request.
+type Class struct {
+	Name       string
+	Effect     Effect
+	Scope      Scope         // for Keyed
+	Window     time.Duration // for Keyed: how long repeats are dropped, from the first send that may have run
+	Aim        time.Duration // an answer within this earns the full worth
+	AimStretch float64       // extra time on the aim, as a multiple of the request's work
+	Deadline   time.Duration // the client's patience over all its tries
+	Worth      float64
+	LateShare  float64 // part of the worth that an answer after the aim earns
+	Stream     bool
+}
+
+// A Tenant is a customer with a share of the fleet.
+type Tenant struct {
+	Name  string
+	Quota float64 // requests a second within its share, over all controllers
+	Share float64
+}
+
+// Limits are what the deployment permits.
+type Limits struct {
+	Attempts        int // for one request
+	Open            int // requests an instance can hold
+	Duplicate       bool
+	Cancel          bool
+	Probe           bool
+	Peers           bool
+	RetryAfter      bool
+	MaxRetryAfter   time.Duration
+	Dial            time.Duration // a connection not up by then has failed
+	KeepAlive       time.Duration // of idle connections
+	Streams         int           // attempts one connection carries
+	CPUPerRequestUS float64
+	CPUPerSecondUS  float64
+}
+
+// Loading states what holds for copies of functions.
+type Loading struct {
+	Orders      bool          // Hold and Unload are allowed
+	LoadsOnMiss bool          // a worker without the function loads it; otherwise it answers Miss
+	OnMissKnown bool          // the deployment said which of the two
+	IdleLife    time.Duration // an idle copy stays at least this long
+	Answer      time.Duration // longest wait for a Held
+	Window      time.Duration // of the load budget; 0: none
+	Free        float64       // orders within Window that are always allowed
+	Ratio       float64       // further orders for each request taken within Window
+	IdlePrice   float64       // for the mean share of memory held by idle or loading copies
+	WarmNotes   bool          // Returned.Note is given
+	CountsAlike bool          // Returned.Alike is given
+	MemoryMB    []float64     // by kind of worker
+	X0, X1      string        // what the report values of these names mean
+}
+
+// Guarantees are the figures of the rules.
+type Guarantees struct {
+	AnswerGrace time.Duration // a final answer this long after the deadline still counts
+	DrainGrace  time.Duration // sends to a draining or gone worker stop within this
+	AskWithin   time.Duration // where the list must be asked for
+	ColdShare   float64       // a starting worker's part of its capacity
+	ColdFor     time.Duration // and when it is warm at the latest
+	FallFactor  float64       // sent more than this multiple of its present capacity
+	FallWithin  time.Duration // for this long, a cold worker falls over
+}
+
+// Goal weighs the parts of the result.
+type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant float64 }
+
+// Prices are taken off the result, each for one unit of what it names.
+type Prices struct {
+	Connection, CrossZone, LateFail, Discovery, Handshake, Moves, Origin, Peer, Probe, Waste float64
+}
+
+// ReportSource says where load reports come from.
+type ReportSource int
+
+const (
+	NoReports ReportSource = iota
+	ReportsInAnswers
+	ReportsInProbes
+)
+
+// A ReportField names one value of a load report.
+type ReportField int
+
+const (
+	FieldUnknown ReportField = iota
+	FieldInFlight
+	FieldQueue
+	FieldUtil
+	FieldLatencyMS
+	FieldRate
+	FieldErrorRate
+	FieldX0
+	FieldX1
+)
+
+// SizeMeaning says what WorkerInfo.Size means.
+type SizeMeaning int
+
+const (
+	SizeNone SizeMeaning = iota
+	SizeNominal
+	SizeRough
+	SizeLive
+)
+
+// Settings are given once, at the start of an instance.
+type Settings struct {
+	Me, Controllers int
+	Zone            int
+	Zones           []string
+	Tier            int
+	Tiers           []string
+	Kinds           []string
+	Classes         []Class
+	Tenants         []Tenant
+	OverShareWorth  float64 // worth of a request over its tenant's share
+	WorthByWork     bool
+	MarksRetry      bool // clients mark their repeats
+	AskForList      bool // the list of workers comes only when asked for
+	Tick            time.Duration
+	Workload        string
+	Sizes           SizeMeaning
+	Report          []ReportField
+	ReportVia       ReportSource
+	Limits          Limits
+	Loading         Loading
+	Guarantees      Guarantees
+	Goal            Goal
+	Prices          Prices
+}
+
+// WorkerState is what the list says of a worker.
+type WorkerState int
+
+const (
+	Ready WorkerState = iota + 1
+	Draining
+	Gone
+)
+
+// WorkerInfo is one line of the list of workers.
+type WorkerInfo struct {
+	ID      WorkerID
+	Size    float64
+	Started time.Duration // on the clock of Step; 0: long ago
+	Group   int
+	Zone    int
+	Kind    int
+	State   WorkerState
+}
+
+// Outcome is how an attempt, a probe or an order ended.
+type Outcome int
+
+const (
+	OK Outcome = iota + 1
+	Error
+	Full // never ran
+	TimedOut
+	ConnectFailed // never ran
+	Reset
+	Cancelled
+	Moot // never ran
+	Miss // never ran
+)
+
+// Note says what an answered attempt met at the worker.
+type Note int
+
+const (
+	NoNote     Note = iota
+	FoundWarm       // a copy stood loaded
+	BeganLoad       // this request began a load
+	AwaitedOne      // it waited for a load begun before
+	LoadFailed      // with Miss or Error: a load failed
+)
+
+// An Event is one of List, Arrival, Started, Returned, HungUp, Timer, Probed, Message and Held.
+type Event interface{ event() }
+
+// ListKind says what a List is.
+type ListKind int
+
+const (
+	Delta ListKind = iota + 1
+	Whole
+	Cached
+	ListFailed
+)
+
+// List is news of the workers.
+type List struct {
+	Kind    ListKind
+	Version uint32
+	Workers []WorkerInfo
+}
+
+// Arrival is a request that the instance has taken.
+type Arrival struct {
+	Request  RequestID
+	Class    int
+	Tenant   int
+	Function FunctionID
+	Expires  time.Duration // how long this try's client still waits
+	Hint     time.Duration // a guess of its core time
+	HasHint  bool
+	MemoryMB float64
+	Lanes    float64 // requests one copy runs at a time
+	LoadTime time.Duration
+	Retry    bool
+	Write    bool
+}
+
+// Started says that a streamed answer has begun.
+type Started struct {
+	Request RequestID
+	Attempt int
+	Worker  WorkerID
+	Took    time.Duration
+}
+
+// Returned ends one attempt.
+type Returned struct {
+	Request  RequestID
+	Attempt  int
+	Worker   WorkerID
+	Outcome  Outcome
+	Took     time.Duration
+	Complete bool // the request is finished
+	Note     Note
+	Alike    int // requests of the function that the worker already held
+	Report   []float64
+}
+
+// HungUp says that the client has left.
+type HungUp struct{ Request RequestID }
+
+// Timer is a Wake come due.
+type Timer struct{ Token uint64 }
+
+// Probed answers a Probe.
+type Probed struct {
+	Worker  WorkerID
+	Outcome Outcome
+	Took    time.Duration
+	Report  []float64
+}
+
+// Message comes from another instance.
+type Message struct {
+	From    int
+	Payload []byte
+}
+
+// Held answers a Hold.
+type Held struct {
+	Worker   WorkerID
+	Function FunctionID
+	Outcome  Outcome
+	Took     time.Duration
+	Copies   int
+}
+
+func (List) event()     {}
+func (Arrival) event()  {}
+func (Started) event()  {}
+func (Returned) event() {}
+func (HungUp) event()   {}
+func (Timer) event()    {}
+func (Probed) event()   {}
+func (Message) event()  {}
+func (Held) event()     {}
+
+// An Action is one of the types below.
+type Action interface{ action() }
+
+// Send gives a request to a worker.
+type Send struct {
+	Request RequestID
+	Worker  WorkerID
+	Timeout time.Duration // 0: until the client leaves
+}
+
+// Refuse is a final answer: no, and another try does no harm.
+type Refuse struct {
+	Request RequestID
+	After   time.Duration // advice for the client's next try
+}
+
+// Fail is a final answer that promises nothing.
+type Fail struct{ Request RequestID }
+
+// Cancel gives up one attempt.
+type Cancel struct {
+	Request RequestID
+	Attempt int
+}
+
+// Wake asks for a Timer at a time of the clock.
+type Wake struct {
+	At    time.Duration
+	Token uint64
+}
+
+// Probe asks a worker for its health.
+type Probe struct{ Worker WorkerID }
+
+// Close frees the idle connections to a worker.
+type Close struct{ Worker WorkerID }
+
+// Everyone addresses a Tell to all other instances.
+const Everyone = -1
+
+// Tell sends up to 256 bytes to another instance.
+type Tell struct {
+	To      int
+	Payload []byte
+}
+
+// Log is a line for the operators.
+type Log struct{ Text string }
+
+// Watch subscribes to the list of workers, or ends that.
+type Watch struct{ On bool }
+
+// Fetch asks once for the whole list of workers.
+type Fetch struct{}
+
+// Hold asks a worker to hold at least Copies of a function; 0 only asks how many stand.
+type Hold struct {
+	Worker   WorkerID
+	Function FunctionID
+	Copies   int
+}
+
+// Unload drops the idle copies of a function.
+type Unload struct {
+	Worker   WorkerID
+	Function FunctionID
+}
+
+func (Send) action()   {}
+func (Refuse) action() {}
+func (Fail) action()   {}
+func (Cancel) action() {}
+func (Wake) action()   {}
+func (Probe) action()  {}
+func (Close) action()  {}
+func (Tell) action()   {}
+func (Log) action()    {}
+func (Watch) action()  {}
+func (Fetch) action()  {}
+func (Hold) action()   {}
+func (Unload) action() {}
--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,745 @@
+// Package choice decides, for one controller, which worker runs which request of which function, and when.
+// It is MQFQ-Sticky at a front end: queues by function, released by virtual time, sent to a hashed home.
+// The interface (settings, events, actions, outcomes) is in api.go; docs/design.md tells the reasons.
+package choice
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Tuned values. All are ratios of settings or of what is observed, but for the design's own figures.
+const (
+	alpha       = 2.0  // queue TTL in inter-arrival times: keeps a function's home while calls are likely
+	overrun     = 10.0 // T, seconds of run time a queue may lead Global_VT: batches, yet no monopoly
+	startTokens = 2.0  // D at first: little harm at a worker nobody has measured yet
+	meanWeight  = 0.2  // of a new run time or gap in its mean: follows a change in some five calls
+	meanClip    = 4.0  // a sample counts as at most so many means: one rare long call is not the rule
+	guessRun    = 0.25 // run time before the first answer, of the aim
+	renewAfter  = 0.6  // idle share of the keep-alive before a hold renews a copy (5 s at 8.4 s)
+	ringPoints  = 48   // of an average worker: even arcs, and a lost home's functions go to many others
+	quietRuns   = 3.0  // no answer for so many mean runs: ask the worker whether it lives
+	benchDials  = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
+	benchCold   = 0.5  // longest time off the ring, of the warm-up time
+	strikeOut   = 2    // failures in a row that take a worker off the ring
+	fullPause   = 0.5  // pause after a refusal, in mean runs: room comes when a run ends
+	coldCores   = 1.0  // cores a cold worker is taken to have: low, as its capacity is never told
+	coldSlack   = 1.5  // spacing of calls too large for the budget, over what the budget allows
+	graceTicks  = 2    // ticks kept for our own answer before the deadline
+)
+
+// New returns a dispatcher for one controller, or an error that names the field that is wrong.
+func New(s Settings, seed uint64) (*Dispatcher, error) {
+	if err := check(&s); err != nil {
+		return nil, err
+	}
+	d := &Dispatcher{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		workers: map[WorkerID]*worker{}, queues: map[FunctionID]*queue{}, requests: map[RequestID]*request{}}
+	for _, c := range s.Classes {
+		d.classRun = append(d.classRun, guessRun*c.Aim.Seconds())
+		d.meanRun += guessRun * c.Aim.Seconds() / float64(len(s.Classes))
+	}
+	return d, nil
+}
+
+// Step takes the events of one tick and returns what to do, in order. Between steps nothing happens.
+func (d *Dispatcher) Step(now time.Duration, events []Event) []Action {
+	d.now = max(now, d.now)
+	d.out = nil
+	for _, e := range events {
+		switch e := e.(type) {
+		case List:
+			d.list(e)
+		case Arrival:
+			d.arrive(e)
+		case Returned:
+			d.returned(e)
+		case HungUp:
+			if r := d.requests[e.Request]; r != nil {
+				d.end(r)
+			}
+		case Held:
+			d.answered(d.workers[e.Worker], e.Outcome)
+		case Probed:
+			d.answered(d.workers[e.Worker], e.Outcome)
+		}
+	}
+	d.sweep()
+	d.health()
+	d.dispatch()
+	d.renew()
+	d.wake()
+	return d.out
+}
+
+func (d *Dispatcher) do(a Action) { d.out = append(d.out, a) }
+
+// Intake and deadlines.
+
+func (d *Dispatcher) arrive(a Arrival) {
+	if _, known := d.requests[a.Request]; known || a.Class < 0 || a.Class >= len(d.s.Classes) {
+		return
+	}
+	if d.s.Loading.Window > 0 {
+		d.arrivals = append(d.arrivals, d.now)
+	}
+	q := d.queue(a.Function)
+	if q.last > 0 {
+		q.gap = mean(q.gap, max((d.now-q.last).Seconds(), d.s.Tick.Seconds()))
+	}
+	q.last = max(d.now, 1)
+	d.activate(q)
+	r := &request{Arrival: a, q: q, at: d.now, final: d.now + a.Expires - graceTicks*d.s.Tick}
+	d.requests[a.Request] = r
+	d.open = append(d.open, r)
+	d.enqueue(r)
+}
+
+// sweep answers what is due and forgets requests that are over.
+func (d *Dispatcher) sweep() {
+	kept := d.open[:0]
+	for _, r := range d.open {
+		if !r.ended && d.now >= r.final {
+			d.finish(r)
+		}
+		out := false
+		for i := range r.tries {
+			if t := &r.tries[i]; !t.done {
+				// An outcome that never comes must not hold memory or a token for ever.
+				if r.ended && d.now > r.final+r.Expires+d.s.Classes[r.Class].Deadline {
+					d.release(r, t, TimedOut)
+					continue
+				}
+				out = true
+			}
+		}
+		if r.ended && !out {
+			delete(d.requests, r.Request)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(d.open[len(kept):])
+	d.open = kept
+}
+
+// finish gives our own final answer, and calls off what is still out for nobody.
+func (d *Dispatcher) finish(r *request) {
+	if d.mayRefuse(r) {
+		d.do(Refuse{Request: r.Request})
+	} else {
+		d.do(Fail{Request: r.Request})
+	}
+	d.end(r)
+}
+
+func (d *Dispatcher) end(r *request) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	d.unqueue(r)
+	for i := range r.tries {
+		d.cancel(r, i)
+	}
+}
+
+func (d *Dispatcher) cancel(r *request, i int) {
+	if t := &r.tries[i]; d.s.Limits.Cancel && !t.done && !t.left {
+		t.left = true
+		d.do(Cancel{Request: r.Request, Attempt: i})
+	}
+}
+
+// Queues, virtual time, Global_VT and TTL.
+
+func (d *Dispatcher) queue(fn FunctionID) *queue {
+	q := d.queues[fn]
+	if q == nil {
+		q = &queue{fn: fn, hash: mix(uint64(fn)), prefAge: -1}
+		d.queues[fn] = q
+		byFn := func(q *queue, f FunctionID) int { return cmp.Compare(q.fn, f) }
+		i, _ := slices.BinarySearchFunc(d.active, fn, byFn)
+		d.active = slices.Insert(d.active, i, q)
+	}
+	return q
+}
+
+func (d *Dispatcher) activate(q *queue) {
+	if !q.active {
+		q.active = true
+		q.vt = max(q.vt, d.globalVT)
+	}
+}
+
+func (d *Dispatcher) enqueue(r *request) {
+	if r.waiting || r.ended {
+		return
+	}
+	r.waiting = true
+	d.activate(r.q)
+	p := r.q.pending
+	i := len(p)
+	for i > 0 && p[i-1].at > r.at {
+		i--
+	}
+	r.q.pending = slices.Insert(p, i, r)
+}
+
+func (d *Dispatcher) unqueue(r *request) {
+	if r.waiting {
+		r.waiting = false
+		r.q.pending = slices.DeleteFunc(r.q.pending, func(o *request) bool { return o == r })
+	}
+}
+
+// ttl is how long an empty queue stays active.
+func (d *Dispatcher) ttl(q *queue) time.Duration {
+	if q.gap == 0 {
+		return d.s.Loading.IdleLife
+	}
+	return time.Duration(alpha * q.gap * float64(time.Second))
+}
+
+// age expires queues that nobody calls and moves Global_VT to the lowest VT of an active queue.
+func (d *Dispatcher) age() {
+	low := math.Inf(1)
+	kept := d.active[:0]
+	for _, q := range d.active {
+		if idle := d.now - max(q.last, q.lastExec); len(q.pending) == 0 && q.inFlight == 0 {
+			q.active = q.active && idle < d.ttl(q)
+			if idle > d.ttl(q)+d.s.Loading.IdleLife+d.s.Guarantees.ColdFor {
+				delete(d.queues, q.fn)
+				continue
+			}
+		}
+		if q.active {
+			low = min(low, q.vt)
+		}
+		kept = append(kept, q)
+	}
+	clear(d.active[len(kept):])
+	d.active = kept
+	if !math.IsInf(low, 1) {
+		d.globalVT = max(d.globalVT, low)
+	}
+}
+
+func (d *Dispatcher) runOf(q *queue, r *request) float64 {
+	switch {
+	case q.run > 0:
+		return q.run
+	case r.HasHint && r.Hint > 0:
+		return r.Hint.Seconds()
+	}
+	return d.classRun[r.Class]
+}
+
+// Ring, home and tokens.
+
+func (d *Dispatcher) buildRing() {
+	d.ring = d.ring[:0]
+	d.ringAge++
+	var sum float64
+	for _, w := range d.order {
+		sum += d.weight(w)
+	}
+	for _, w := range d.order {
+		n := max(1, int(math.Round(ringPoints*d.weight(w)*float64(len(d.order))/sum)))
+		for i := 0; i < n; i++ {
+			d.ring = append(d.ring, point{mix(mix(uint64(w.ID)) + uint64(i)), w})
+		}
+	}
+	slices.SortFunc(d.ring, func(a, b point) int {
+		if a.at != b.at {
+			return cmp.Compare(a.at, b.at)
+		}
+		return cmp.Compare(a.w.ID, b.w.ID)
+	})
+}
+
+// weight is a worker's share of the ring: the memory of its kind where told, as that bounds its copies.
+func (d *Dispatcher) weight(w *worker) float64 {
+	if m := d.s.Loading.MemoryMB; w.Kind >= 0 && w.Kind < len(m) && m[w.Kind] > 0 {
+		return m[w.Kind]
+	}
+	return 1
+}
+
+// walk returns the workers in ring order from the function's place on; the first that is ready is its home.
+func (d *Dispatcher) walk(q *queue) []*worker {
+	if q.prefAge == d.ringAge {
+		return q.pref
+	}
+	q.prefAge, q.pref = d.ringAge, q.pref[:0]
+	i, _ := slices.BinarySearchFunc(d.ring, q.hash, func(p point, h uint64) int {
+		return cmp.Compare(p.at, h)
+	})
+	for n := 0; n < len(d.ring) && len(q.pref) < len(d.order); n++ {
+		if w := d.ring[(i+n)%len(d.ring)].w; !slices.Contains(q.pref, w) {
+			q.pref = append(q.pref, w)
+		}
+	}
+	return q.pref
+}
+
+// ready tells whether a worker may be sent anything new. Suspicion never takes more than half of the ring:
+// when most workers look bad, the fault is more likely ours or the network's.
+func (d *Dispatcher) ready(w *worker) bool {
+	return w.State == Ready && (!w.benched || 2*d.benched() > len(d.order))
+}
+
+func (d *Dispatcher) benched() (n int) {
+	for _, w := range d.order {
+		if w.benched {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Dispatcher) hasToken(w *worker, work float64) bool {
+	return float64(w.out) < max(1, math.Floor(w.tokens)) && d.now >= w.pauseTo && d.coldRoom(w, work)
+}
+
+// Dispatch.
+
+func (d *Dispatcher) dispatch() {
+	d.age()
+	var wait []*queue
+	for _, q := range d.active {
+		if len(q.pending) > 0 {
+			q.blocked = false
+			wait = append(wait, q)
+		}
+	}
+	for len(wait) > 0 {
+		var best *queue
+		for _, q := range wait {
+			if !q.blocked && (best == nil || d.before(q, best)) {
+				best = q
+			}
+		}
+		if best == nil {
+			return
+		}
+		if !d.place(best) || len(best.pending) == 0 {
+			best.blocked = true
+		}
+	}
+}
+
+// before orders queues: those within T of Global_VT first, longest first, then fewest in flight. Beyond T
+// the lowest VT goes first, so that free tokens are used.
+func (d *Dispatcher) before(a, b *queue) bool {
+	okA, okB := a.vt < d.globalVT+overrun, b.vt < d.globalVT+overrun
+	switch {
+	case okA != okB:
+		return okA
+	case !okA && a.vt != b.vt:
+		return a.vt < b.vt
+	case len(a.pending) != len(b.pending):
+		return len(a.pending) > len(b.pending)
+	case a.inFlight != b.inFlight:
+		return a.inFlight < b.inFlight
+	}
+	return a.fn < b.fn
+}
+
+// place sends the first request of the queue that some worker can take.
+func (d *Dispatcher) place(q *queue) bool {
+	for _, r := range q.pending {
+		for _, w := range d.walk(q) {
+			if d.ready(w) && d.maySend(r, w) && d.hasToken(w, d.classRun[r.Class]) {
+				d.send(r, w)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (d *Dispatcher) send(r *request, w *worker) {
+	q, work := r.q, d.classRun[r.Class]
+	d.unqueue(r)
+	r.cover = false
+	q.vt += d.runOf(q, r)
+	q.inFlight++
+	q.lastExec = d.now
+	if w.out == 0 {
+		w.since = d.now
+	}
+	w.out++
+	w.work += work
+	w.lastSend, w.fn = d.now, q.fn
+	r.tries = append(r.tries, attempt{w: w, group: w.Group, zone: w.Zone, sent: d.now, work: work})
+	d.do(Send{Request: r.Request, Worker: w.ID, Timeout: max(r.final-d.now, d.s.Tick)})
+}
+
+// Worker health and cold start.
+
+// share is the part of its capacity that a worker has now at least.
+func (d *Dispatcher) share(w *worker) float64 {
+	g := d.s.Guarantees
+	if w.coldFrom <= 0 || d.now-w.coldFrom >= g.ColdFor {
+		return 1
+	}
+	return g.ColdShare + (1-g.ColdShare)*float64(max(0, d.now-w.coldFrom))/float64(g.ColdFor)
+}
+
+// coldRoom keeps a cold worker from being pushed over. Work sent within a window is at most what the worker
+// finished plus what is outstanding, so (factor-1) x share x capacity x window of it outstanding, over all
+// controllers, cannot spend the budget. Where one call is more than our part, calls are spaced.
+func (d *Dispatcher) coldRoom(w *worker, work float64) bool {
+	share := d.share(w)
+	if share >= 1 {
+		w.linger = nil
+		return true
+	}
+	g, n := d.s.Guarantees, float64(d.s.Controllers)
+	held := w.work
+	for _, l := range w.linger {
+		if l.until > d.now {
+			held += l.work
+		}
+	}
+	if held+work <= (g.FallFactor-1)*share*coldCores*g.FallWithin.Seconds()/n {
+		return true
+	}
+	space := coldSlack * work * n / max(g.FallFactor*share*coldCores, 1e-6)
+	return held < work/2 && (d.now-w.lastSend).Seconds() >= space
+}
+
+// answered notes any sign of life of a worker.
+func (d *Dispatcher) answered(w *worker, o Outcome) {
+	if w == nil {
+		return
+	}
+	w.asked = 0
+	if o == ConnectFailed || o == Reset || o == TimedOut {
+		d.strike(w)
+		return
+	}
+	w.heard = d.now
+	if w.benched && d.now >= w.backAt {
+		// It was silent or down and may have started anew before the list says so: begin low.
+		w.benched, w.strikes, w.tokens = false, 0, 1
+		if w.coldFrom < w.backAt-d.s.Guarantees.ColdFor {
+			w.coldFrom = d.now
+		}
+	}
+}
+
+func (d *Dispatcher) strike(w *worker) {
+	w.strikes++
+	if w.strikes >= strikeOut && !w.benched {
+		d.bench(w)
+	}
+}
+
+// bench takes a worker off the ring for a growing, bounded time and finds another for what it holds.
+func (d *Dispatcher) bench(w *worker) {
+	span := benchDials * float64(d.s.Limits.Dial) * math.Pow(2, float64(min(w.benches, 10)))
+	w.benched, w.asked = true, 0
+	w.backAt = d.now + time.Duration(min(span, benchCold*float64(d.s.Guarantees.ColdFor)))
+	w.benches++
+	for _, r := range d.open {
+		d.rescue(r, w)
+	}
+}
+
+// health asks workers that are quiet with something out, benches those that stay so, and tries the benched.
+func (d *Dispatcher) health() {
+	quiet := max(d.s.Limits.Dial, seconds(quietRuns*d.meanRun))
+	for _, w := range d.order {
+		switch {
+		case w.benched && d.now >= w.backAt && w.asked == 0:
+			if !d.ask(w) {
+				d.answered(w, OK)
+			}
+		case w.benched && w.asked > 0 && d.now-w.asked > d.s.Limits.Dial:
+			d.bench(w)
+		case w.benched || w.out == 0 || d.now-max(w.since, w.heard) <= quiet:
+		case w.asked == 0:
+			d.ask(w)
+		case d.now-w.asked > d.s.Limits.Dial && w.heard < w.asked:
+			d.bench(w)
+		}
+	}
+}
+
+// ask puts a question to a worker that costs it little: how many copies stand, or a probe.
+func (d *Dispatcher) ask(w *worker) bool {
+	_, known := d.queues[w.fn]
+	switch {
+	case d.s.Loading.Orders && (known || w.fn != 0):
+		d.do(Hold{Worker: w.ID, Function: w.fn})
+	case d.s.Limits.Probe:
+		d.do(Probe{Worker: w.ID})
+	default:
+		return false
+	}
+	w.asked = d.now
+	return true
+}
+
+// Attempts, and what may follow each outcome.
+
+func (d *Dispatcher) returned(e Returned) {
+	r := d.requests[e.Request]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.tries) || r.tries[e.Attempt].done {
+		return
+	}
+	t := &r.tries[e.Attempt]
+	w := t.w
+	d.release(r, t, e.Outcome)
+	took, c := e.Took.Seconds(), d.s.Classes[r.Class]
+	switch e.Outcome {
+	case OK:
+		d.answered(w, OK)
+		w.strikes, w.doubt = 0, false
+		if !w.benched {
+			w.benches = 0
+		}
+		cold := e.Note == BeganLoad || e.Note == AwaitedOne
+		if !cold {
+			r.q.run = mean(r.q.run, took)
+			d.classRun[r.Class] = mean(d.classRun[r.Class], took)
+			d.meanRun = mean(d.meanRun, took)
+		}
+		if e.Took <= c.Aim {
+			if float64(w.out+1) >= math.Floor(w.tokens) {
+				w.tokens++
+			}
+		}
+	case Full:
+		d.answered(w, OK)
+		w.tokens = max(1, w.tokens/2)
+		w.pauseTo = d.now + seconds(fullPause*d.meanRun)
+	case TimedOut:
+		w.tokens = max(1, w.tokens/2)
+		d.strike(w)
+	case ConnectFailed, Reset:
+		d.strike(w)
+	case Error, Miss:
+		d.answered(w, OK)
+	}
+	if e.Complete || e.Outcome == OK {
+		d.end(r)
+		return
+	}
+	if r.ended {
+		return
+	}
+	d.again(r)
+}
+
+// again queues a request for another attempt, waits for one that is out, or answers.
+func (d *Dispatcher) again(r *request) {
+	out := slices.ContainsFunc(r.tries, func(t attempt) bool { return !t.done })
+	switch {
+	case d.mayTry(r) && (!out || r.cover):
+		d.enqueue(r)
+	case !out && !r.waiting:
+		d.finish(r)
+	}
+}
+
+// release ends an attempt's hold on its worker and records whether it may have run.
+func (d *Dispatcher) release(r *request, t *attempt, o Outcome) {
+	t.done = true
+	t.mayRun = o != Full && o != ConnectFailed && o != Moot && o != Miss
+	t.w.out--
+	t.w.work = max(0, t.w.work-t.work)
+	t.w.since = d.now
+	r.q.inFlight--
+	r.q.lastExec = d.now
+	if o != OK && o != ConnectFailed && o != Moot && d.share(t.w) < 1 {
+		t.w.linger = slices.DeleteFunc(t.w.linger, func(l debt) bool { return l.until <= d.now })
+		t.w.linger = append(t.w.linger, debt{d.now + d.s.Guarantees.FallWithin, t.work})
+	}
+}
+
+// mayHaveRun returns the first attempt that may have run, or may yet.
+func (r *request) mayHaveRun() *attempt {
+	for i := range r.tries {
+		if t := &r.tries[i]; !t.done || t.mayRun {
+			return t
+		}
+	}
+	return nil
+}
+
+// mayRefuse: a refusal tells the client that another try does no harm.
+func (d *Dispatcher) mayRefuse(r *request) bool {
+	c := d.s.Classes[r.Class]
+	return c.Effect == Safe || r.mayHaveRun() == nil || c.Effect == Keyed && c.Scope == AllWorkers
+}
+
+// mayTry tells whether the rules leave room for another attempt at all.
+func (d *Dispatcher) mayTry(r *request) bool {
+	return slices.ContainsFunc(d.order, func(w *worker) bool { return d.maySend(r, w) })
+}
+
+// maySend keeps the rules on effects for one more attempt at a worker.
+func (d *Dispatcher) maySend(r *request, w *worker) bool {
+	if r.ended || w.State != Ready || len(r.tries) >= d.s.Limits.Attempts || d.now >= r.final {
+		return false
+	}
+	for i := range r.tries {
+		t := &r.tries[i]
+		if !t.done && (!d.s.Limits.Duplicate || !t.left && !r.cover || t.w == w) {
+			return false
+		}
+	}
+	first := r.mayHaveRun()
+	c := d.s.Classes[r.Class]
+	switch {
+	case first == nil || c.Effect == Safe:
+		return true
+	case c.Effect == Unsafe:
+		return false
+	}
+	return d.now < first.sent+c.Window-d.s.Tick && (c.Scope == AllWorkers ||
+		c.Scope == SameZone && w.Zone == first.zone || c.Scope == SameGroup && w.Group == first.group)
+}
+
+// rescue finds another worker for a request that waits on one that no longer answers.
+func (d *Dispatcher) rescue(r *request, w *worker) {
+	if r.ended || r.waiting {
+		return
+	}
+	for i := range r.tries {
+		if t := &r.tries[i]; t.w == w && !t.done && d.s.Classes[r.Class].Effect != Unsafe {
+			if d.s.Limits.Duplicate {
+				r.cover = true
+				if d.mayTry(r) {
+					d.enqueue(r)
+				}
+			} else if len(r.tries) < d.s.Limits.Attempts {
+				d.cancel(r, i)
+			}
+		}
+	}
+}
+
+// Load orders.
+
+// mayOrder keeps the load budget: an exact count of orders and requests within the window.
+func (d *Dispatcher) mayOrder() bool {
+	l := d.s.Loading
+	if !l.Orders || l.Window == 0 {
+		return l.Orders
+	}
+	from := d.now - l.Window
+	d.arrivals = slices.DeleteFunc(d.arrivals, func(t time.Duration) bool { return t <= from })
+	d.orders = slices.DeleteFunc(d.orders, func(t time.Duration) bool { return t < from })
+	return float64(len(d.orders)+1) <= l.Free+l.Ratio*float64(len(d.arrivals))
+}
+
+// hold orders copies; the caller has seen that the worker is ready.
+func (d *Dispatcher) hold(w *worker, fn FunctionID, copies int) bool {
+	if !d.mayOrder() {
+		return false
+	}
+	if d.s.Loading.Window > 0 {
+		d.orders = append(d.orders, d.now)
+	}
+	d.do(Hold{Worker: w.ID, Function: fn, Copies: copies})
+	return true
+}
+
+// renew keeps the home instance of a function that is likely to be called again.
+func (d *Dispatcher) renew() {
+	after := time.Duration(renewAfter * float64(d.s.Loading.IdleLife))
+	for _, q := range d.active {
+		if !q.active || len(q.pending) > 0 || q.inFlight > 0 || d.now-max(q.lastExec, q.renewed) < after {
+			continue
+		}
+		for _, w := range d.walk(q) {
+			if d.ready(w) {
+				if !d.hold(w, q.fn, 1) {
+					return
+				}
+				q.renewed = d.now
+				break
+			}
+		}
+	}
+}
+
+// The list of workers.
+
+func (d *Dispatcher) list(l List) {
+	if l.Kind == ListFailed {
+		return
+	}
+	seen := map[WorkerID]bool{}
+	for _, i := range l.Workers {
+		seen[i.ID] = true
+		w := d.workers[i.ID]
+		if i.State == Gone {
+			d.depart(w)
+			continue
+		}
+		if w == nil {
+			w = &worker{tokens: startTokens}
+			if l.Kind == Cached {
+				w.doubt, w.tokens = true, 1
+			}
+			d.workers[i.ID] = w
+			d.order = append(d.order, w)
+		}
+		if i.Started > w.Started && i.Started > w.coldFrom {
+			w.coldFrom = i.Started
+			w.tokens = min(w.tokens, startTokens)
+		}
+		w.WorkerInfo = i
+	}
+	if l.Kind != Delta {
+		for _, w := range slices.Clone(d.order) {
+			if !seen[w.ID] {
+				d.depart(w)
+			}
+		}
+	}
+	slices.SortFunc(d.order, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	d.buildRing()
+}
+
+func (d *Dispatcher) depart(w *worker) {
+	if w == nil {
+		return
+	}
+	w.State = Gone
+	delete(d.workers, w.ID)
+	d.order = slices.DeleteFunc(d.order, func(o *worker) bool { return o == w })
+	for _, r := range d.open {
+		d.rescue(r, w)
+	}
+}
+
+// wake asks for the next step: each tick or so while something is open, else when a queue may want renewal.
+func (d *Dispatcher) wake() {
+	at := d.now + max(d.s.Tick, d.s.Limits.Dial/10)
+	for _, r := range d.open {
+		if !r.ended {
+			at = min(at, max(r.final, d.now+1))
+		}
+	}
+	if d.wakeAt > d.now && d.wakeAt <= at || len(d.open) == 0 && len(d.queues) == 0 {
+		return
+	}
+	d.wakeAt = at
+	d.do(Wake{At: at})
+}
+
+func mean(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + meanWeight*(min(sample, meanClip*old)-old)
+}
--- /dev/null
+++ b/choice/settings.go
@@ -0,0 +1,55 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+)
+
+// check returns an error that names the first field that contradicts itself.
+func check(s *Settings) error {
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("settings: Classes: none given")
+	}
+	if s.Controllers < 1 {
+		return fmt.Errorf("settings: Controllers: %d is under 1", s.Controllers)
+	}
+	if s.Limits.Attempts < 1 {
+		return fmt.Errorf("settings: Limits.Attempts: %d is under 1", s.Limits.Attempts)
+	}
+	if !s.Loading.OnMissKnown {
+		return fmt.Errorf("settings: Loading.LoadsOnMiss: unknown what a worker does on a miss")
+	}
+	l, g := s.Loading, s.Guarantees
+	numbers := []struct {
+		name string
+		v    float64
+	}{{"OverShareWorth", s.OverShareWorth}, {"Tick", float64(s.Tick)}, {"Loading.Free", l.Free},
+		{"Loading.Ratio", l.Ratio}, {"Loading.Window", float64(l.Window)}, {"Loading.IdlePrice", l.IdlePrice},
+		{"Loading.IdleLife", float64(l.IdleLife)}, {"Loading.Answer", float64(l.Answer)},
+		{"Limits.Dial", float64(s.Limits.Dial)}, {"Guarantees.ColdShare", g.ColdShare},
+		{"Guarantees.FallFactor", g.FallFactor}, {"Guarantees.ColdFor", float64(g.ColdFor)},
+		{"Guarantees.DrainGrace", float64(g.DrainGrace)}, {"Guarantees.FallWithin", float64(g.FallWithin)},
+		{"Guarantees.AnswerGrace", float64(g.AnswerGrace)}, {"Prices.Waste", s.Prices.Waste},
+		{"Prices.LateFail", s.Prices.LateFail}, {"Prices.Origin", s.Prices.Origin}}
+	for _, n := range numbers {
+		if !(n.v >= 0) || math.IsInf(n.v, 0) {
+			return fmt.Errorf("settings: %s: %v is negative or not finite", n.name, n.v)
+		}
+	}
+	for i, c := range s.Classes {
+		switch {
+		case c.Effect < Safe || c.Effect > Unsafe:
+			return fmt.Errorf("settings: Classes[%d].Effect: unknown effect %d", i, c.Effect)
+		case c.Effect == Keyed && (c.Scope < AllWorkers || c.Scope > SameGroup):
+			return fmt.Errorf("settings: Classes[%d].Scope: unknown group %d", i, c.Scope)
+		case c.Aim <= 0 || c.Deadline <= 0:
+			return fmt.Errorf("settings: Classes[%d]: aim %v and deadline %v must be above 0", i, c.Aim, c.Deadline)
+		case c.Window < 0:
+			return fmt.Errorf("settings: Classes[%d].Window: %v is negative", i, c.Window)
+		case !(c.Worth >= 0) || math.IsInf(c.Worth, 0) || !(c.LateShare >= 0) || math.IsInf(c.LateShare, 0):
+			return fmt.Errorf("settings: Classes[%d]: worth %v or late share %v is negative or not finite", i,
+				c.Worth, c.LateShare)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,106 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// A Dispatcher decides for one controller. It is not safe for concurrent use.
+type Dispatcher struct {
+	s        Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	workers  map[WorkerID]*worker
+	order    []*worker // by id
+	ring     []point
+	ringAge  int
+	queues   map[FunctionID]*queue
+	active   []*queue // by function, all that are kept
+	requests map[RequestID]*request
+	open     []*request // in order of arrival
+	globalVT float64
+	classRun []float64 // mean run time of a class, seconds
+	meanRun  float64
+	wakeAt   time.Duration
+	arrivals []time.Duration // within the load window
+	orders   []time.Duration
+}
+
+type point struct {
+	at uint64
+	w  *worker
+}
+
+type worker struct {
+	WorkerInfo
+	doubt    bool // known from a cached list only
+	tokens   float64
+	out      int
+	work     float64 // outstanding, seconds of run time
+	heard    time.Duration
+	since    time.Duration // since when something is out without an answer
+	strikes  int
+	benches  int
+	backAt   time.Duration // off the ring until then, if benched
+	benched  bool
+	asked    time.Duration // when a question went out that has no answer; 0: none
+	pauseTo  time.Duration
+	coldFrom time.Duration // start as told or as seen
+	lastSend time.Duration
+	linger   []debt // work that may still weigh on a cold worker
+	fn       FunctionID
+}
+
+type debt struct {
+	until time.Duration
+	work  float64
+}
+
+type queue struct {
+	fn       FunctionID
+	hash     uint64
+	vt       float64
+	pending  []*request // oldest first
+	inFlight int
+	run      float64 // mean run time, seconds; 0: not known
+	gap      float64 // mean time between arrivals, seconds; 0: not known
+	last     time.Duration
+	lastExec time.Duration
+	renewed  time.Duration
+	active   bool
+	pref     []*worker
+	prefAge  int
+	blocked  bool
+}
+
+type request struct {
+	Arrival
+	q       *queue
+	at      time.Duration
+	final   time.Duration // our own answer goes out at this time
+	tries   []attempt
+	waiting bool
+	ended   bool
+	cover   bool // an attempt is given up on: another may go out beside it
+}
+
+type attempt struct {
+	w           *worker
+	group, zone int
+	sent        time.Duration
+	work        float64
+	done        bool
+	mayRun      bool
+	left        bool // cancelled or overtaken by us
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// mix spreads the bits of a number (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,172 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"kitehub/choice"
+)
+
+type ms float64
+
+func (m ms) d() time.Duration { return ToDuration(float64(m)) }
+
+// env mirrors the settings text of the wire; what it does not name is skipped.
+type env struct {
+	Balancers int `json:"balancers"`
+	Classes   []struct {
+		AimStretch float64 `json:"aimStretch"`
+		TargetMs   ms      `json:"targetMs"`
+		GiveUpMs   ms      `json:"giveUpMs"`
+		Effect     string  `json:"effect"`
+		KeyScope   string  `json:"keyScope"`
+		LateShare  float64 `json:"lateShare"`
+		Name       string  `json:"name"`
+		Stream     bool    `json:"stream"`
+		WindowMs   ms      `json:"windowMs"`
+		Worth      float64 `json:"worth"`
+	} `json:"classes"`
+	Clients struct {
+		MarksRetry bool `json:"marksRetry"`
+	} `json:"clients"`
+	MembershipMode string `json:"membershipMode"`
+	Workload       string `json:"workload"`
+	Domain         struct {
+		IdleLifeMs     ms        `json:"idleLifeMs"`
+		MachineMb      []float64 `json:"machineMb"`
+		LoadsAnyway    float64   `json:"loadsAnyway"`
+		LoadRatio      float64   `json:"loadRatio"`
+		LoadWindowMs   ms        `json:"loadWindowMs"`
+		IdleMemoryCost float64   `json:"idleMemoryCost"`
+		OnMiss         string    `json:"onMiss"`
+		AnswerWithinMs ms        `json:"answerWithinMs"`
+		MayOrder       bool      `json:"mayOrder"`
+		ReportX0       string    `json:"reportX0"`
+		ReportX1       string    `json:"reportX1"`
+		CountsAlike    bool      `json:"countsAlike"`
+		WarmNotes      bool      `json:"warmNotes"`
+	} `json:"domain"`
+	Goal struct {
+		Whole       float64 `json:"whole"`
+		WorstClass  float64 `json:"worstClass"`
+		WorstTenant float64 `json:"worstTenant"`
+		WorstWindow float64 `json:"worstWindow"`
+	} `json:"goal"`
+	Kinds  []string `json:"kinds"`
+	Limits struct {
+		Cancel          bool    `json:"cancel"`
+		KeepaliveMs     ms      `json:"keepaliveMs"`
+		DialTimeoutMs   ms      `json:"dialTimeoutMs"`
+		CPUUsPerRequest float64 `json:"cpuUsPerRequest"`
+		CPUUsPerS       float64 `json:"cpuUsPerS"`
+		MostTries       int     `json:"mostTries"`
+		MaxOpen         int     `json:"maxOpen"`
+		MaxRetryAfterMs ms      `json:"maxRetryAfterMs"`
+		PeerMessages    bool    `json:"peerMessages"`
+		Probes          bool    `json:"probes"`
+		RetryAfter      bool    `json:"retryAfter"`
+		MayDuplicate    bool    `json:"mayDuplicate"`
+		StreamsPerConn  int     `json:"streamsPerConn"`
+	} `json:"limits"`
+	Me             int     `json:"me"`
+	OverShareWorth float64 `json:"overShareWorth"`
+	Costs          struct {
+		Connection     float64 `json:"connection"`
+		CrossZone      float64 `json:"crossZone"`
+		LateFail       float64 `json:"lateFail"`
+		MembershipMode float64 `json:"membershipMode"`
+		Handshake      float64 `json:"handshake"`
+		Moves          float64 `json:"moves"`
+		Origin         float64 `json:"origin"`
+		Peer           float64 `json:"peer"`
+		Probe          float64 `json:"probe"`
+		Waste          float64 `json:"waste"`
+	} `json:"costs"`
+	Report struct {
+		Fields []string `json:"fields"`
+		Via    string   `json:"via"`
+	} `json:"report"`
+	Guarantees struct {
+		GraceToAnswerMs ms      `json:"graceToAnswerMs"`
+		AskWithinMs     ms      `json:"askWithinMs"`
+		ColdFrom        float64 `json:"coldFrom"`
+		ColdMs          ms      `json:"coldMs"`
+		DrainGraceMs    ms      `json:"drainGraceMs"`
+		FallMultiple    float64 `json:"fallMultiple"`
+		OverloadForMs   ms      `json:"overloadForMs"`
+	} `json:"guarantees"`
+	Tenants []struct {
+		Name      string  `json:"name"`
+		QuotaPerS float64 `json:"quotaPerS"`
+		Share     float64 `json:"share"`
+	} `json:"tenants"`
+	TickMs       ms       `json:"tickMs"`
+	Tier         int      `json:"tier"`
+	Tiers        []string `json:"tiers"`
+	WeightSource string   `json:"weightSource"`
+	WorthBy      string   `json:"worthBy"`
+	Zone         int      `json:"zone"`
+	Localities   []string `json:"localities"`
+}
+
+var (
+	effects = map[string]choice.Effect{"pure": choice.Safe, "token": choice.Keyed, "side_effect": choice.Unsafe}
+	scopes  = map[string]choice.Scope{"all": choice.AllWorkers, "zone": choice.SameZone, "cell": choice.SameGroup}
+	vias    = map[string]choice.ReportSource{"answers": choice.ReportsInAnswers, "probe": choice.ReportsInProbes}
+	sizes   = map[string]choice.SizeMeaning{"nominal": choice.SizeNominal, "rough": choice.SizeRough,
+		"live": choice.SizeLive}
+	fields = map[string]choice.ReportField{"outstanding": choice.FieldInFlight, "backlog": choice.FieldQueue,
+		"utilization": choice.FieldUtil, "recent_ms": choice.FieldLatencyMS, "throughput": choice.FieldRate,
+		"errors_per_s": choice.FieldErrorRate, "x0": choice.FieldX0, "x1": choice.FieldX1}
+)
+
+// ParseSettings reads the settings text of a Provision. A word it does not know becomes the zero value,
+// which the module rejects where it must know.
+func ParseSettings(text []byte) (choice.Settings, error) {
+	var e env
+	if err := json.Unmarshal(text, &e); err != nil {
+		return choice.Settings{}, fmt.Errorf("PROVISION: settings: %w", err)
+	}
+	s := choice.Settings{
+		Me: e.Me, Controllers: e.Balancers, Zone: e.Zone, Zones: e.Localities, Tier: e.Tier, Tiers: e.Tiers,
+		Kinds: e.Kinds, OverShareWorth: e.OverShareWorth, WorthByWork: e.WorthBy == "work",
+		MarksRetry: e.Clients.MarksRetry, AskForList: e.MembershipMode == "ask", Tick: e.TickMs.d(),
+		Workload: e.Workload, Sizes: sizes[e.WeightSource], ReportVia: vias[e.Report.Via],
+		Limits: choice.Limits{Attempts: e.Limits.MostTries, Open: e.Limits.MaxOpen,
+			Duplicate: e.Limits.MayDuplicate, Cancel: e.Limits.Cancel, Probe: e.Limits.Probes,
+			Peers: e.Limits.PeerMessages, RetryAfter: e.Limits.RetryAfter,
+			MaxRetryAfter: e.Limits.MaxRetryAfterMs.d(), Dial: e.Limits.DialTimeoutMs.d(),
+			KeepAlive: e.Limits.KeepaliveMs.d(), Streams: e.Limits.StreamsPerConn,
+			CPUPerRequestUS: e.Limits.CPUUsPerRequest, CPUPerSecondUS: e.Limits.CPUUsPerS},
+		Loading: choice.Loading{Orders: e.Domain.MayOrder, LoadsOnMiss: e.Domain.OnMiss == "load",
+			OnMissKnown: e.Domain.OnMiss == "load" || e.Domain.OnMiss == "miss",
+			IdleLife:    e.Domain.IdleLifeMs.d(), Answer: e.Domain.AnswerWithinMs.d(),
+			Window: e.Domain.LoadWindowMs.d(), Free: e.Domain.LoadsAnyway, Ratio: e.Domain.LoadRatio,
+			IdlePrice: e.Domain.IdleMemoryCost, WarmNotes: e.Domain.WarmNotes,
+			CountsAlike: e.Domain.CountsAlike, MemoryMB: e.Domain.MachineMb, X0: e.Domain.ReportX0,
+			X1: e.Domain.ReportX1},
+		Guarantees: choice.Guarantees{AnswerGrace: e.Guarantees.GraceToAnswerMs.d(),
+			DrainGrace: e.Guarantees.DrainGraceMs.d(), AskWithin: e.Guarantees.AskWithinMs.d(),
+			ColdShare: e.Guarantees.ColdFrom, ColdFor: e.Guarantees.ColdMs.d(),
+			FallFactor: e.Guarantees.FallMultiple, FallWithin: e.Guarantees.OverloadForMs.d()},
+		Goal: choice.Goal{Whole: e.Goal.Whole, WorstWindow: e.Goal.WorstWindow, WorstClass: e.Goal.WorstClass,
+			WorstTenant: e.Goal.WorstTenant},
+		Prices: choice.Prices{Connection: e.Costs.Connection, CrossZone: e.Costs.CrossZone,
+			LateFail: e.Costs.LateFail, Discovery: e.Costs.MembershipMode, Handshake: e.Costs.Handshake,
+			Moves: e.Costs.Moves, Origin: e.Costs.Origin, Peer: e.Costs.Peer, Probe: e.Costs.Probe,
+			Waste: e.Costs.Waste},
+	}
+	for _, c := range e.Classes {
+		s.Classes = append(s.Classes, choice.Class{Name: c.Name, Effect: effects[c.Effect],
+			Scope: scopes[c.KeyScope], Window: c.WindowMs.d(), Aim: c.TargetMs.d(), AimStretch: c.AimStretch,
+			Deadline: c.GiveUpMs.d(), Worth: c.Worth, LateShare: c.LateShare, Stream: c.Stream})
+	}
+	for _, t := range e.Tenants {
+		s.Tenants = append(s.Tenants, choice.Tenant{Name: t.Name, Quota: t.QuotaPerS, Share: t.Share})
+	}
+	for _, f := range e.Report.Fields {
+		s.Report = append(s.Report, fields[f])
+	}
+	return s, nil
+}
