Loads hold no token; spill by hold; late requests last

Now a send that may wait for a load has a small count of its own, the rest of the queue waits for it, a further copy is ordered before it is sent to, and requests past their aim go behind all others.

It should also hold against slow stores; it can harm where a worker rarely tells what it holds, as belief in a copy ages with the keep-alive.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -13,22 +13,26 @@
 
 // Tuned values. All are ratios of settings or of what is observed, but for the design's own figures.
 const (
-	alpha       = 2.0  // queue TTL in inter-arrival times: keeps a function's home while calls are likely
-	overrun     = 10.0 // T, seconds of run time a queue may lead Global_VT: batches, yet no monopoly
-	startTokens = 2.0  // D at first: little harm at a worker nobody has measured yet
-	meanWeight  = 0.2  // of a new run time or gap in its mean: follows a change in some five calls
-	meanClip    = 4.0  // a sample counts as at most so many means: one rare long call is not the rule
-	guessRun    = 0.25 // run time before the first answer, of the aim
-	renewAfter  = 0.6  // idle share of the keep-alive before a hold renews a copy (5 s at 8.4 s)
-	ringPoints  = 48   // of an average worker: even arcs, and a lost home's functions go to many others
-	quietRuns   = 3.0  // no answer for so many mean runs: ask the worker whether it lives
-	benchDials  = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
-	benchCold   = 0.5  // longest time off the ring, of the warm-up time
-	strikeOut   = 2    // failures in a row that take a worker off the ring
-	fullPause   = 0.5  // pause after a refusal, in mean runs: room comes when a run ends
-	coldCores   = 1.0  // cores a cold worker is taken to have: low, as its capacity is never told
-	coldSlack   = 1.5  // spacing of calls too large for the budget, over what the budget allows
-	graceTicks  = 2    // ticks kept for our own answer before the deadline
+	alpha        = 2.0  // queue TTL in inter-arrival times: keeps a function's home while calls are likely
+	overrun      = 10.0 // T, seconds of run time a queue may lead Global_VT: batches, yet no monopoly
+	startTokens  = 2.0  // D at first: little harm at a worker nobody has measured yet
+	meanWeight   = 0.2  // of a new run time or gap in its mean: follows a change in some five calls
+	meanClip     = 4.0  // a sample counts as at most so many means: one rare long call is not the rule
+	guessRun     = 0.25 // run time before the first answer, of the aim
+	renewAfter   = 0.6  // idle share of the keep-alive before a hold renews a copy (5 s at 8.4 s)
+	ringPoints   = 48   // of an average worker: even arcs, and a lost home's functions go to many others
+	quietRuns    = 3.0  // no answer for so many mean runs: ask the worker whether it lives
+	benchDials   = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
+	benchCold    = 0.5  // longest time off the ring, of the warm-up time
+	strikeOut    = 2    // failures in a row that take a worker off the ring
+	fullPause    = 0.5  // pause after a refusal, in mean runs: room comes when a run ends
+	coldCores    = 1.0  // cores a cold worker is taken to have: low, as its capacity is never told
+	coldSlack    = 1.5  // spacing of calls too large for the budget, over what the budget allows
+	ownLoads     = 2    // sends at once to one worker where a load is likely: the store is shared by all
+	guessLoad    = 1.5  // load time before one was seen, of the aim
+	spillAfter   = 0.25 // wait at a busy home, of the aim, before a further copy is worth its load
+	leadPatience = 2.0  // load times that others wait for the request that began a load
+	graceTicks   = 2    // ticks kept for our own answer before the deadline
 )
 
 // New returns a dispatcher for one controller, or an error that names the field that is wrong.
@@ -62,7 +66,7 @@
 				d.end(r)
 			}
 		case Held:
-			d.answered(d.workers[e.Worker], e.Outcome)
+			d.held(e)
 		case Probed:
 			d.answered(d.workers[e.Worker], e.Outcome)
 		}
@@ -159,7 +163,7 @@
 func (d *Dispatcher) queue(fn FunctionID) *queue {
 	q := d.queues[fn]
 	if q == nil {
-		q = &queue{fn: fn, hash: mix(uint64(fn)), prefAge: -1}
+		q = &queue{fn: fn, hash: mix(uint64(fn)), prefAge: -1, spots: map[*worker]*spot{}}
 		d.queues[fn] = q
 		byFn := func(q *queue, f FunctionID) int { return cmp.Compare(q.fn, f) }
 		i, _ := slices.BinarySearchFunc(d.active, fn, byFn)
@@ -302,32 +306,41 @@
 }
 
 func (d *Dispatcher) hasToken(w *worker, work float64) bool {
-	return float64(w.out) < max(1, math.Floor(w.tokens)) && d.now >= w.pauseTo && d.coldRoom(w, work)
+	return float64(w.busy) < max(1, math.Floor(w.tokens)) && d.now >= w.pauseTo && d.coldRoom(w, work)
 }
 
 // Dispatch.
 
 func (d *Dispatcher) dispatch() {
 	d.age()
-	var wait []*queue
-	for _, q := range d.active {
-		if len(q.pending) > 0 {
-			q.blocked = false
-			wait = append(wait, q)
-		}
-	}
-	for len(wait) > 0 {
-		var best *queue
-		for _, q := range wait {
-			if !q.blocked && (best == nil || d.before(q, best)) {
-				best = q
+	for _, late := range []bool{false, true} {
+		var wait []*queue
+		for _, q := range d.active {
+			q.length = 0
+			for _, r := range q.pending {
+				if d.fresh(r) != late {
+					q.length++
+				}
+			}
+			if q.length > 0 {
+				wait = append(wait, q)
 			}
 		}
-		if best == nil {
-			return
-		}
-		if !d.place(best) || len(best.pending) == 0 {
-			best.blocked = true
+		for {
+			var best *queue
+			for _, q := range wait {
+				if q.length > 0 && (best == nil || d.before(q, best)) {
+					best = q
+				}
+			}
+			if best == nil {
+				break
+			}
+			if d.place(best, late) {
+				best.length--
+			} else {
+				best.length = 0
+			}
 		}
 	}
 }
@@ -341,27 +354,114 @@
 		return okA
 	case !okA && a.vt != b.vt:
 		return a.vt < b.vt
-	case len(a.pending) != len(b.pending):
-		return len(a.pending) > len(b.pending)
+	case a.length != b.length:
+		return a.length > b.length
 	case a.inFlight != b.inFlight:
 		return a.inFlight < b.inFlight
 	}
 	return a.fn < b.fn
 }
 
-// place sends the first request of the queue that some worker can take.
-func (d *Dispatcher) place(q *queue) bool {
+// fresh tells whether a waiting request can still be answered within its aim.
+func (d *Dispatcher) fresh(r *request) bool {
+	c := d.s.Classes[r.Class]
+	aim := min(c.Aim+time.Duration(c.AimStretch*float64(r.Hint)), c.Deadline)
+	return d.now+seconds(d.runOf(r.q, r)) < r.at+aim
+}
+
+// place sends the first request of the queue that some worker can take. With late set it takes those whose
+// aim is past: they wait behind all others, or a stall would make every later answer late as well.
+func (d *Dispatcher) place(q *queue, late bool) bool {
 	for _, r := range q.pending {
-		for _, w := range d.walk(q) {
-			if d.ready(w) && d.maySend(r, w) && d.hasToken(w, d.classRun[r.Class]) {
-				d.send(r, w)
-				return true
-			}
+		if d.fresh(r) == late {
+			continue
+		}
+		if w := d.pick(q, r); w != nil {
+			d.send(r, w)
+			return true
 		}
 	}
 	return false
 }
 
+// pick walks the ring from home for a worker with a token. A worker not known to hold the function would
+// load it, so beyond the home it is only ordered to, and sent to once the copy stands; a copy that is known
+// to stand further on serves meanwhile. Thus neither a lost home nor a hot function scatters loads.
+func (d *Dispatcher) pick(q *queue, r *request) *worker {
+	var home, spare *worker
+	work := d.classRun[r.Class]
+	loading := false
+	for _, w := range d.walk(q) {
+		if !d.ready(w) || !d.maySend(r, w) {
+			continue
+		}
+		sp := q.spots[w]
+		if d.warm(sp, w) {
+			if d.hasToken(w, work) {
+				if home != nil {
+					d.prepare(q, home)
+				}
+				return w
+			}
+		} else if sp != nil && (sp.lead > 0 || sp.ordered > 0) && d.now-sp.since < d.patience(q, r) {
+			loading = true
+		} else if w.loads < ownLoads && d.now >= w.pauseTo && d.coldRoom(w, work) {
+			if home == nil && len(q.spots) == 0 {
+				return w
+			}
+			if spare == nil {
+				spare = w
+			}
+		}
+		if home == nil {
+			home = w
+		}
+	}
+	switch {
+	case spare == nil:
+		return nil
+	case spare == home && !loading:
+		return spare
+	case d.now-r.at < time.Duration(spillAfter*float64(d.s.Classes[r.Class].Aim)) || loading:
+		return nil
+	case d.prepare(q, spare):
+		return nil
+	}
+	return spare
+}
+
+// patience is how long the rest of a queue waits for a load under way.
+func (d *Dispatcher) patience(q *queue, r *request) time.Duration {
+	switch {
+	case q.load > 0:
+		return seconds(leadPatience * q.load)
+	case r.LoadTime > 0:
+		return seconds(leadPatience * r.LoadTime.Seconds())
+	}
+	return seconds(leadPatience * guessLoad * d.s.Classes[r.Class].Aim.Seconds())
+}
+
+// warm tells whether a copy is believed to stand: one was seen, not longer ago than an idle copy stays, and
+// the worker has not started since.
+func (d *Dispatcher) warm(sp *spot, w *worker) bool {
+	return sp != nil && sp.seen > 0 && sp.seen >= w.coldFrom &&
+		(sp.out > 0 || d.now-sp.seen < d.s.Loading.IdleLife)
+}
+
+// prepare orders a copy where one is wanted soon, and tells whether one is coming.
+func (d *Dispatcher) prepare(q *queue, w *worker) bool {
+	sp := q.spot(w)
+	if sp.ordered > 0 || d.warm(sp, w) {
+		return true
+	}
+	if !d.hold(w, q.fn, 1) {
+		return false
+	}
+	sp.ordered++
+	sp.since = d.now
+	return true
+}
+
 func (d *Dispatcher) send(r *request, w *worker) {
 	q, work := r.q, d.classRun[r.Class]
 	d.unqueue(r)
@@ -372,10 +472,20 @@
 	if w.out == 0 {
 		w.since = d.now
 	}
+	sp := q.spot(w)
+	t := attempt{w: w, group: w.Group, zone: w.Zone, sent: d.now, work: work, load: !d.warm(sp, w)}
+	sp.out++
+	if t.load {
+		w.loads++
+		sp.lead++
+		sp.since = d.now
+	} else {
+		w.busy++
+	}
 	w.out++
 	w.work += work
 	w.lastSend, w.fn = d.now, q.fn
-	r.tries = append(r.tries, attempt{w: w, group: w.Group, zone: w.Zone, sent: d.now, work: work})
+	r.tries = append(r.tries, t)
 	d.do(Send{Request: r.Request, Worker: w.ID, Timeout: max(r.final-d.now, d.s.Tick)})
 }
 
@@ -504,14 +614,18 @@
 		if !w.benched {
 			w.benches = 0
 		}
+		r.q.spot(w).seen = d.now
 		cold := e.Note == BeganLoad || e.Note == AwaitedOne
-		if !cold {
+		if e.Note == BeganLoad {
+			r.q.load = mean(r.q.load, took)
+		}
+		if e.Note == FoundWarm || !cold && !t.load {
 			r.q.run = mean(r.q.run, took)
 			d.classRun[r.Class] = mean(d.classRun[r.Class], took)
 			d.meanRun = mean(d.meanRun, took)
 		}
 		if e.Took <= c.Aim {
-			if float64(w.out+1) >= math.Floor(w.tokens) {
+			if float64(w.busy+1) >= math.Floor(w.tokens) {
 				w.tokens++
 			}
 		}
@@ -553,6 +667,14 @@
 	t.done = true
 	t.mayRun = o != Full && o != ConnectFailed && o != Moot && o != Miss
 	t.w.out--
+	sp := r.q.spot(t.w)
+	sp.out--
+	if t.load {
+		t.w.loads--
+		sp.lead--
+	} else {
+		t.w.busy--
+	}
 	t.w.work = max(0, t.w.work-t.work)
 	t.w.since = d.now
 	r.q.inFlight--
@@ -652,6 +774,23 @@
 	return true
 }
 
+// held notes what stands where. An order that failed says nothing of the worker's health but its silence.
+func (d *Dispatcher) held(e Held) {
+	w, q := d.workers[e.Worker], d.queues[e.Function]
+	d.answered(w, e.Outcome)
+	if w == nil || q == nil {
+		return
+	}
+	sp := q.spot(w)
+	sp.ordered = max(0, sp.ordered-1)
+	switch {
+	case e.Copies > 0:
+		sp.seen = d.now
+	case e.Outcome == OK && sp.out == 0:
+		sp.seen = 0
+	}
+}
+
 // renew keeps the home instance of a function that is likely to be called again.
 func (d *Dispatcher) renew() {
 	after := time.Duration(renewAfter * float64(d.s.Loading.IdleLife))
@@ -664,7 +803,9 @@
 				if !d.hold(w, q.fn, 1) {
 					return
 				}
-				q.renewed = d.now
+				sp := q.spot(w)
+				sp.ordered++
+				sp.since, q.renewed = d.now, d.now
 				break
 			}
 		}
@@ -720,6 +861,11 @@
 	for _, r := range d.open {
 		d.rescue(r, w)
 	}
+	for _, q := range d.active {
+		if sp := q.spots[w]; sp != nil && sp.out == 0 {
+			delete(q.spots, w)
+		}
+	}
 }
 
 // wake asks for the next step: each tick or so while something is open, else when a queue may want renewal.
--- a/choice/state.go
+++ b/choice/state.go
@@ -36,7 +36,9 @@
 	WorkerInfo
 	doubt    bool // known from a cached list only
 	tokens   float64
-	out      int
+	out      int     // attempts out
+	busy     int     // of them, those that hold a token
+	loads    int     // of them, those that may wait for a load
 	work     float64 // outstanding, seconds of run time
 	heard    time.Duration
 	since    time.Duration // since when something is out without an answer
@@ -71,7 +73,27 @@
 	active   bool
 	pref     []*worker
 	prefAge  int
-	blocked  bool
+	length   int     // requests that compete in this round
+	load     float64 // mean time of an answer that began a load, seconds; 0: not known
+	spots    map[*worker]*spot
+}
+
+// A spot is what is known of a function at one worker.
+type spot struct {
+	seen    time.Duration // when a copy was last seen there; 0: never
+	out     int           // attempts out
+	lead    int           // of them, those that may wait for a load
+	ordered int           // holds without an answer
+	since   time.Duration // of the last such attempt or order
+}
+
+func (q *queue) spot(w *worker) *spot {
+	sp := q.spots[w]
+	if sp == nil {
+		sp = &spot{}
+		q.spots[w] = sp
+	}
+	return sp
 }
 
 type request struct {
@@ -92,6 +114,7 @@
 	work        float64
 	done        bool
 	mayRun      bool
+	load        bool // may wait for a load: holds no token
 	left        bool // cancelled or overtaken by us
 }
 
