Orders and sends that are turned away wait for a growing time

Cause: a hold answered 'full' at once was ordered again in the same tick, and a refused request walked the whole ring. Told apart from a sick fleet by the answers: full, 0.5 ms, on all workers alike. Change: a worker without room for a load gets no further load, and after a refusal no send, for a time that doubles.

It should also hold against a fallen store. It can harm where a single function's load fails: the worker is spared for others as well.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -405,7 +405,7 @@
 			}
 		} else if sp != nil && (sp.lead > 0 || sp.ordered > 0) && d.now-sp.since < d.patience(q, r) {
 			loading = true
-		} else if w.loads < ownLoads && d.now >= w.pauseTo && d.coldRoom(w, work) {
+		} else if w.loads < ownLoads && d.now >= max(w.pauseTo, w.loadTo) && d.coldRoom(w, work) {
 			if home == nil && len(q.spots) == 0 {
 				return w
 			}
@@ -454,12 +454,7 @@
 	if sp.ordered > 0 || d.warm(sp, w) {
 		return true
 	}
-	if !d.hold(w, q.fn, 1) {
-		return false
-	}
-	sp.ordered++
-	sp.since = d.now
-	return true
+	return d.now >= w.loadTo && d.hold(w, q.fn, 1)
 }
 
 func (d *Dispatcher) send(r *request, w *worker) {
@@ -610,7 +605,10 @@
 	switch e.Outcome {
 	case OK:
 		d.answered(w, OK)
-		w.strikes, w.doubt = 0, false
+		w.strikes, w.fulls, w.doubt = 0, 0, false
+		if e.Note == BeganLoad {
+			w.denied = 0
+		}
 		if !w.benched {
 			w.benches = 0
 		}
@@ -632,7 +630,11 @@
 	case Full:
 		d.answered(w, OK)
 		w.tokens = max(1, w.tokens/2)
-		w.pauseTo = d.now + seconds(fullPause*d.meanRun)
+		if t.load {
+			d.deny(w, r.q)
+		}
+		w.pauseTo = d.now + seconds(min(fullPause*d.meanRun*math.Pow(2, float64(w.fulls)), c.Aim.Seconds()))
+		w.fulls++
 	case TimedOut:
 		w.tokens = max(1, w.tokens/2)
 		d.strike(w)
@@ -770,6 +772,9 @@
 	if d.s.Loading.Window > 0 {
 		d.orders = append(d.orders, d.now)
 	}
+	sp := d.queue(fn).spot(w)
+	sp.ordered++
+	sp.since = d.now
 	d.do(Hold{Worker: w.ID, Function: fn, Copies: copies})
 	return true
 }
@@ -785,12 +790,22 @@
 	sp.ordered = max(0, sp.ordered-1)
 	switch {
 	case e.Copies > 0:
-		sp.seen = d.now
+		sp.seen, w.denied = d.now, 0
+	case e.Outcome == Full || e.Outcome == Error:
+		d.deny(w, q)
 	case e.Outcome == OK && sp.out == 0:
 		sp.seen = 0
 	}
 }
 
+// deny keeps further loads from a worker that had no room for one, or failed at it, for a growing time: an
+// order or a send that is turned away at once would otherwise be repeated at once.
+func (d *Dispatcher) deny(w *worker, q *queue) {
+	span := max(q.load, guessLoad*d.s.Classes[0].Aim.Seconds()) * math.Pow(2, float64(w.denied)-1)
+	w.loadTo = d.now + min(seconds(span), d.s.Loading.IdleLife)
+	w.denied = min(w.denied+1, 10)
+}
+
 // renew keeps the home instance of a function that is likely to be called again.
 func (d *Dispatcher) renew() {
 	after := time.Duration(renewAfter * float64(d.s.Loading.IdleLife))
@@ -803,9 +818,7 @@
 				if !d.hold(w, q.fn, 1) {
 					return
 				}
-				sp := q.spot(w)
-				sp.ordered++
-				sp.since, q.renewed = d.now, d.now
+				q.renewed = d.now
 				break
 			}
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -48,6 +48,9 @@
 	benched  bool
 	asked    time.Duration // when a question went out that has no answer; 0: none
 	pauseTo  time.Duration
+	fulls    int           // refusals in a row
+	loadTo   time.Duration // no load there before
+	denied   int           // loads in a row that it had no room for
 	coldFrom time.Duration // start as told or as seen
 	lastSend time.Duration
 	linger   []debt // work that may still weigh on a cold worker
