Tokens shrink where answers are slower than at other workers

Cause: D rose with every answer within the aim, which at 5 to 8 times the run time is no brake; the home of hot functions and slow workers held up to 31 attempts on 4 cores, 16 to 24% late even while nothing was wrong. Now a worker whose answers, against the mean of their class, are slower than 1.5 times the median worker's loses a tenth of its tokens an answer.

Should also hold against noisy neighbours and thrash; harms where functions of one class differ much in run time and one worker is home to the long ones.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,6 +22,8 @@
 	renewAfter   = 0.6  // idle share of the keep-alive before a hold renews a copy (5 s at 8.4 s)
 	ringPoints   = 48   // of an average worker: even arcs, and a lost home's functions go to many others
 	quietRuns    = 3.0  // no answer for so many mean runs: ask the worker whether it lives
+	paceOver     = 1.5  // answers slower than usual by this: the worker has too much in hand, or is slow
+	paceCut      = 0.9  // of the tokens, then; ten such answers weigh more than the halving after a refusal
 	benchDials   = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
 	benchCold    = 0.5  // longest time off the ring, of the warm-up time
 	strikeOut    = 2    // failures in a row that take a worker off the ring
@@ -79,8 +81,6 @@
 	return d.out
 }
 
-func (d *Dispatcher) do(a Action) { d.out = append(d.out, a) }
-
 // Intake and deadlines.
 
 func (d *Dispatcher) arrive(a Arrival) {
@@ -160,18 +160,6 @@
 
 // Queues, virtual time, Global_VT and TTL.
 
-func (d *Dispatcher) queue(fn FunctionID) *queue {
-	q := d.queues[fn]
-	if q == nil {
-		q = &queue{fn: fn, hash: mix(uint64(fn)), prefAge: -1, spots: map[*worker]*spot{}}
-		d.queues[fn] = q
-		byFn := func(q *queue, f FunctionID) int { return cmp.Compare(q.fn, f) }
-		i, _ := slices.BinarySearchFunc(d.active, fn, byFn)
-		d.active = slices.Insert(d.active, i, q)
-	}
-	return q
-}
-
 func (d *Dispatcher) activate(q *queue) {
 	if !q.active {
 		q.active = true
@@ -296,17 +284,20 @@
 	return w.State == Ready && (!w.benched || 2*d.benched() > len(d.order))
 }
 
-func (d *Dispatcher) benched() (n int) {
+func (d *Dispatcher) hasToken(w *worker, work float64) bool {
+	return float64(w.busy) < max(1, math.Floor(w.tokens)) && d.now >= w.pauseTo && d.coldRoom(w, work)
+}
+
+// usualPace is the median pace of the workers that answered: a slow answer of one worker among its peers is
+// that worker's load or trouble, of all of them the function's or the day's.
+func (d *Dispatcher) usualPace() float64 {
+	d.paces = d.paces[:0]
 	for _, w := range d.order {
-		if w.benched {
-			n++
+		if w.pace > 0 {
+			d.paces = append(d.paces, w.pace)
 		}
 	}
-	return n
-}
-
-func (d *Dispatcher) hasToken(w *worker, work float64) bool {
-	return float64(w.busy) < max(1, math.Floor(w.tokens)) && d.now >= w.pauseTo && d.coldRoom(w, work)
+	return median(d.paces, 1)
 }
 
 // Dispatch.
@@ -622,8 +613,12 @@
 			d.classRun[r.Class] = mean(d.classRun[r.Class], took)
 			d.meanRun = mean(d.meanRun, took)
 		}
-		if e.Took <= c.Aim {
-			if float64(w.busy+1) >= math.Floor(w.tokens) {
+		if e.Note == FoundWarm || !cold && !t.load {
+			w.pace = mean(w.pace, took/d.classRun[r.Class])
+			switch {
+			case e.Took > c.Aim || w.pace > paceOver*d.usualPace():
+				w.tokens = max(1, w.tokens*paceCut)
+			case float64(w.busy+1) >= math.Floor(w.tokens):
 				w.tokens++
 			}
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,7 +1,9 @@
 package choice
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -23,6 +25,7 @@
 	classRun []float64 // mean run time of a class, seconds
 	meanRun  float64
 	wakeAt   time.Duration
+	paces    []float64       // scratch
 	arrivals []time.Duration // within the load window
 	orders   []time.Duration
 }
@@ -47,6 +50,7 @@
 	backAt   time.Duration // off the ring until then, if benched
 	benched  bool
 	asked    time.Duration // when a question went out that has no answer; 0: none
+	pace     float64       // mean of run time over the class's mean; 0: not known
 	pauseTo  time.Duration
 	fulls    int           // refusals in a row
 	loadTo   time.Duration // no load there before
@@ -130,3 +134,36 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+func (d *Dispatcher) do(a Action) { d.out = append(d.out, a) }
+
+// queue returns the queue of a function, a new one where none is kept.
+func (d *Dispatcher) queue(fn FunctionID) *queue {
+	q := d.queues[fn]
+	if q == nil {
+		q = &queue{fn: fn, hash: mix(uint64(fn)), prefAge: -1, spots: map[*worker]*spot{}}
+		d.queues[fn] = q
+		byFn := func(q *queue, f FunctionID) int { return cmp.Compare(q.fn, f) }
+		i, _ := slices.BinarySearchFunc(d.active, fn, byFn)
+		d.active = slices.Insert(d.active, i, q)
+	}
+	return q
+}
+
+func (d *Dispatcher) benched() (n int) {
+	for _, w := range d.order {
+		if w.benched {
+			n++
+		}
+	}
+	return n
+}
+
+// median returns the middle value, or otherwise where there is none. It sorts v.
+func median(v []float64, otherwise float64) float64 {
+	if len(v) == 0 {
+		return otherwise
+	}
+	slices.Sort(v)
+	return v[len(v)/2]
+}
