--- a/choice/choice.go
+++ b/choice/choice.go
@@ -388,7 +388,8 @@
 		}
 		sp := q.spots[w]
 		if d.warm(sp, w) {
-			if d.hasToken(w, work) {
+			// Past the lanes of the copies a worker starts another by itself, which pushes others out.
+			if float64(sp.out) < max(1, r.Lanes*float64(max(1, sp.copies))) && d.hasToken(w, work) {
 				if home != nil {
 					d.prepare(q, home)
 				}
@@ -785,7 +786,7 @@
 	sp.ordered = max(0, sp.ordered-1)
 	switch {
 	case e.Copies > 0:
-		sp.seen, w.denied = d.now, 0
+		sp.seen, sp.copies, w.denied = d.now, e.Copies, 0
 	case e.Outcome == Full || e.Outcome == Error:
 		d.deny(w, q)
 	case e.Outcome == OK && sp.out == 0:
--- a/choice/state.go
+++ b/choice/state.go
@@ -90,6 +90,7 @@
 	seen    time.Duration // when a copy was last seen there; 0: never
 	out     int           // attempts out
 	lead    int           // of them, those that may wait for a load
+	copies  int           // that stood when last told; 0: not told
 	ordered int           // holds without an answer
 	since   time.Duration // of the last such attempt or order
 }
