--- a/choice/choice.go
+++ b/choice/choice.go
@@ -397,10 +397,8 @@
 			}
 		} else if sp != nil && (sp.lead > 0 || sp.ordered > 0) && d.now-sp.since < d.patience(q, r) {
 			loading = true
-		} else if w.loads < ownLoads && d.now >= max(w.pauseTo, w.loadTo) && d.coldRoom(w, work) {
-			if home == nil && len(q.spots) == 0 {
-				return w
-			}
+		} else if w.loads < ownLoads && d.now >= max(w.pauseTo, w.loadTo) &&
+			(d.s.Loading.Orders || d.coldRoom(w, work)) {
 			if spare == nil {
 				spare = w
 			}
@@ -413,10 +411,14 @@
 	case spare == nil:
 		return nil
 	case spare == home && !loading:
+		// A cold worker loads as fast as any, but one call that waits for it would fill its small part.
+		if d.share(spare) < 1 && d.prepare(q, spare) || !d.coldRoom(spare, work) {
+			return nil
+		}
 		return spare
 	case d.now-r.at < time.Duration(spillAfter*float64(d.s.Classes[r.Class].Aim)) || loading:
 		return nil
-	case d.prepare(q, spare):
+	case d.prepare(q, spare) || !d.coldRoom(spare, work):
 		return nil
 	}
 	return spare
