--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,6 +26,7 @@
 	paceCut      = 0.9  // of the tokens, then; ten such answers weigh more than the halving after a refusal
 	benchDials   = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
 	benchCold    = 0.5  // longest time off the ring, of the warm-up time
+	askDials     = 3.0  // dial time-outs that a question may go without an answer
 	strikeOut    = 2    // failures in a row that take a worker off the ring
 	fullPause    = 0.5  // pause after a refusal, in mean runs: room comes when a run ends
 	coldCores    = 1.0  // cores a cold worker is taken to have: low, as its capacity is never told
@@ -523,11 +524,11 @@
 		return
 	}
 	w.heard = d.now
-	if w.benched && d.now >= w.backAt {
-		// It was silent or down and may have started anew before the list says so: begin low.
-		w.benched, w.strikes, w.tokens = false, 0, 1
-		if w.coldFrom < w.backAt-d.s.Guarantees.ColdFor {
-			w.coldFrom = d.now
+	if w.benched {
+		// It may have started anew before the list says so, unless this answers what went out before.
+		w.benched, w.strikes = false, 0
+		if w.out == 0 && w.coldFrom < w.backAt-d.s.Guarantees.ColdFor {
+			w.tokens, w.coldFrom = 1, d.now
 		}
 	}
 }
@@ -553,18 +554,19 @@
 // health asks workers that are quiet with something out, benches those that stay so, and tries the benched.
 func (d *Dispatcher) health() {
 	quiet := max(d.s.Limits.Dial, seconds(quietRuns*d.meanRun))
+	patience := seconds(askDials * d.s.Limits.Dial.Seconds()) // a busy worker answers questions late as well
 	for _, w := range d.order {
 		switch {
 		case w.benched && d.now >= w.backAt && w.asked == 0:
 			if !d.ask(w) {
 				d.answered(w, OK)
 			}
-		case w.benched && w.asked > 0 && d.now-w.asked > d.s.Limits.Dial:
+		case w.benched && w.asked > 0 && d.now-w.asked > patience:
 			d.bench(w)
 		case w.benched || w.out == 0 || d.now-max(w.since, w.heard) <= quiet:
 		case w.asked == 0:
 			d.ask(w)
-		case d.now-w.asked > d.s.Limits.Dial && w.heard < w.asked:
+		case d.now-w.asked > patience && w.heard < w.asked:
 			d.bench(w)
 		}
 	}
