--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,7 +31,6 @@
 	fullPause    = 0.5  // pause after a refusal, in mean runs: room comes when a run ends
 	coldCores    = 1.0  // cores a cold worker is taken to have: low, as its capacity is never told
 	coldSlack    = 1.5  // spacing of calls too large for the budget, over what the budget allows
-	denyDoubles  = 2    // doublings of the pause after a load was turned away, which starts at half a load
 	ownLoads     = 2    // sends at once to one worker where a load is likely: the store is shared by all
 	guessLoad    = 1.5  // load time before one was seen, of the aim
 	spillAfter   = 0.25 // wait at a busy home, of the aim, before a further copy is worth its load
@@ -804,7 +803,7 @@
 func (d *Dispatcher) deny(w *worker, q *queue) {
 	span := max(q.load, guessLoad*d.s.Classes[0].Aim.Seconds()) * math.Pow(2, float64(w.denied)-1)
 	w.loadTo = d.now + min(seconds(span), d.s.Loading.IdleLife)
-	w.denied = min(w.denied+1, denyDoubles)
+	w.denied = min(w.denied+1, 10)
 }
 
 // renew keeps the home instance of a function that is likely to be called again.
