A request past its aim brings no further copy

Cause: in a jam every late request asked for a further copy of its function further on; loads pushed out copies in use (pushed_out_per_load 0.75). Harms where worth of late answers is near full.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -417,7 +417,7 @@
 			return nil
 		}
 		return spare
-	case d.now-r.at < time.Duration(spillAfter*float64(d.s.Classes[r.Class].Aim)) || loading:
+	case d.now-r.at < time.Duration(spillAfter*float64(d.s.Classes[r.Class].Aim)) || loading || !d.fresh(r):
 		return nil
 	case d.prepare(q, spare) || !d.coldRoom(spare, work):
 		return nil
