--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,419 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// base returns settings of a small deployment with one class of each effect.
+func base() Settings {
+	return Settings{Controllers: 1, Tick: 2 * ms,
+		Classes: []Class{
+			{Name: "safe", Effect: Safe, Aim: 500 * ms, Deadline: 4 * time.Second, Worth: 1},
+			{Name: "keyed", Effect: Keyed, Scope: SameGroup, Window: 2 * time.Second, Aim: 500 * ms,
+				Deadline: 4 * time.Second, Worth: 1},
+			{Name: "unsafe", Effect: Unsafe, Aim: 500 * ms, Deadline: 4 * time.Second, Worth: 1}},
+		Limits: Limits{Attempts: 3, Open: 100, Dial: 250 * ms, Cancel: true},
+		Loading: Loading{Orders: true, LoadsOnMiss: true, OnMissKnown: true, IdleLife: 8 * time.Second,
+			Answer: 10 * time.Second, WarmNotes: true},
+		Guarantees: Guarantees{DrainGrace: 500 * ms, ColdShare: 0.2, ColdFor: 16 * time.Second, FallFactor: 3,
+			FallWithin: 2 * time.Second}}
+}
+
+func start(t *testing.T, s Settings, workers ...WorkerInfo) *Dispatcher {
+	t.Helper()
+	d, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Step(time.Second, []Event{List{Kind: Cached, Workers: workers}})
+	return d
+}
+
+func ready(ids ...WorkerID) (l []WorkerInfo) {
+	for _, id := range ids {
+		l = append(l, WorkerInfo{ID: id, State: Ready, Group: int(id)})
+	}
+	return l
+}
+
+func arrival(id RequestID, class int, fn FunctionID) Arrival {
+	return Arrival{Request: id, Class: class, Function: fn, Expires: 3 * time.Second, Lanes: 2}
+}
+
+// pickOut returns the actions of one type.
+func pickOut[T Action](actions []Action) (l []T) {
+	for _, a := range actions {
+		if a, ok := a.(T); ok {
+			l = append(l, a)
+		}
+	}
+	return l
+}
+
+func TestNewRejects(t *testing.T) {
+	tests := []struct {
+		field string
+		spoil func(*Settings)
+	}{
+		{"Classes", func(s *Settings) { s.Classes = nil }},
+		{"Effect", func(s *Settings) { s.Classes[0].Effect = 0 }},
+		{"Scope", func(s *Settings) { s.Classes[1].Scope = 9 }},
+		{"Window", func(s *Settings) { s.Loading.Window = -1 }},
+		{"Ratio", func(s *Settings) { s.Loading.Ratio = math.NaN() }},
+		{"ColdShare", func(s *Settings) { s.Guarantees.ColdShare = math.Inf(1) }},
+		{"Attempts", func(s *Settings) { s.Limits.Attempts = 0 }},
+		{"Controllers", func(s *Settings) { s.Controllers = 0 }},
+	}
+	for _, tt := range tests {
+		s := base()
+		tt.spoil(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), tt.field) {
+			t.Errorf("spoilt %s: error %v does not name it", tt.field, err)
+		}
+	}
+}
+
+// What may follow an outcome: for each effect, another attempt, a refusal or a failure.
+func TestAfterOutcome(t *testing.T) {
+	type want struct{ sends, refuses, fails int }
+	tests := []struct {
+		class   int
+		outcome Outcome
+		want    want
+	}{
+		{0, Full, want{sends: 1}}, {0, ConnectFailed, want{sends: 1}}, {0, Miss, want{sends: 1}},
+		{0, Error, want{sends: 1}}, {0, Reset, want{sends: 1}}, {0, OK, want{}},
+		{1, Full, want{sends: 1}}, {1, ConnectFailed, want{sends: 1}}, {1, OK, want{}},
+		{2, Full, want{sends: 1}}, {2, ConnectFailed, want{sends: 1}},
+		{2, Error, want{fails: 1}}, {2, Reset, want{fails: 1}}, {2, TimedOut, want{fails: 1}},
+		{2, Cancelled, want{fails: 1}}, {2, OK, want{}},
+	}
+	for _, tt := range tests {
+		d := start(t, base(), ready(1, 2, 3)...)
+		sent := pickOut[Send](d.Step(time.Second, []Event{arrival(1, tt.class, 7)}))
+		if len(sent) != 1 {
+			t.Fatalf("class %d: %d sends on arrival, want 1", tt.class, len(sent))
+		}
+		var got want
+		e := Event(Returned{Request: 1, Worker: sent[0].Worker, Outcome: tt.outcome, Took: 20 * ms,
+			Complete: tt.outcome == OK})
+		for now := 1020 * ms; now < 3500*ms && got == (want{}); now += 20 * ms {
+			actions := d.Step(now, []Event{e})
+			got.sends += len(pickOut[Send](actions))
+			got.refuses += len(pickOut[Refuse](actions))
+			got.fails += len(pickOut[Fail](actions))
+			e = Timer{}
+		}
+		if got != tt.want {
+			t.Errorf("class %d after outcome %d: %+v, want %+v", tt.class, tt.outcome, got, tt.want)
+		}
+	}
+}
+
+// A keyed request that may have run goes only to the group of its worker, and only within the window.
+func TestKeyedStaysInGroup(t *testing.T) {
+	for _, mate := range []bool{true, false} {
+		d := start(t, base(), ready(1, 2, 3, 4)...)
+		sent := pickOut[Send](d.Step(time.Second, []Event{arrival(1, 1, 7)}))
+		home := sent[0].Worker
+		var news []WorkerInfo
+		for _, w := range ready(1, 2, 3, 4) {
+			if mate && w.ID != home && len(news) == 0 {
+				w.Group = int(home)
+				news = append(news, w)
+			}
+		}
+		d.Step(1001*ms, []Event{List{Kind: Delta, Workers: append(news, WorkerInfo{ID: home, State: Draining})}})
+		actions := d.Step(1020*ms, []Event{Returned{Request: 1, Worker: home, Outcome: Reset, Took: 20 * ms}})
+		again, fails := pickOut[Send](actions), pickOut[Fail](actions)
+		if mate && (len(again) != 1 || again[0].Worker != news[0].ID) {
+			t.Errorf("with a mate: sends %v, want one to %d", again, news[0].ID)
+		}
+		if !mate && (len(again) != 0 || len(fails) != 1 || len(pickOut[Refuse](actions)) != 0) {
+			t.Errorf("without a mate: %v, want one Fail and nothing else", actions)
+		}
+	}
+}
+
+// A request gets one answer before its time is over, also when nobody can take it; a late word changes nothing.
+func TestOneAnswerInTime(t *testing.T) {
+	for _, class := range []int{0, 1, 2} {
+		d := start(t, base())
+		answers := 0
+		for now := time.Second; now < 6*time.Second; now += 2 * ms {
+			var events []Event
+			if now == time.Second {
+				events = []Event{arrival(1, class, 7)}
+			}
+			actions := d.Step(now, events)
+			n := len(pickOut[Refuse](actions)) + len(pickOut[Fail](actions))
+			if n > 0 && now >= 4*time.Second {
+				t.Errorf("class %d: answered at %v, the client left at 4s", class, now)
+			}
+			answers += n
+		}
+		if answers != 1 {
+			t.Errorf("class %d: %d answers, want 1", class, answers)
+		}
+		if len(d.requests) != 0 || len(d.open) != 0 {
+			t.Errorf("class %d: request kept after its answer", class)
+		}
+	}
+}
+
+func TestTimeAlreadyOver(t *testing.T) {
+	d := start(t, base(), ready(1)...)
+	a := arrival(1, 2, 7)
+	a.Expires = 0
+	got := d.Step(time.Second, []Event{a})
+	if len(pickOut[Refuse](got)) != 1 || len(pickOut[Send](got)) != 0 {
+		t.Errorf("got %v, want one Refuse and no Send", got)
+	}
+}
+
+// Nothing new, call or order, goes to a worker that drains.
+func TestDrain(t *testing.T) {
+	d := start(t, base(), ready(1, 2)...)
+	home := pickOut[Send](d.Step(time.Second, []Event{arrival(1, 0, 7)}))[0].Worker
+	d.Step(1100*ms, []Event{Returned{Request: 1, Worker: home, Outcome: OK, Complete: true, Took: 100 * ms,
+		Note: FoundWarm}})
+	d.Step(1200*ms, []Event{List{Kind: Delta, Workers: []WorkerInfo{{ID: home, State: Draining}}}})
+	for i := 0; i < 1000; i++ {
+		now := 1200*ms + time.Duration(i)*10*ms
+		var events []Event
+		if i%50 == 0 {
+			events = append(events, arrival(RequestID(100+i), 0, 7))
+		}
+		actions := d.Step(now, events)
+		for _, a := range pickOut[Send](actions) {
+			if a.Worker == home {
+				t.Fatalf("%v: send to a draining worker", now)
+			}
+		}
+		for _, a := range pickOut[Hold](actions) {
+			if a.Worker == home && a.Copies > 0 {
+				t.Fatalf("%v: order to a draining worker", now)
+			}
+		}
+	}
+}
+
+// Holds stay within the load budget at each order.
+func TestLoadBudget(t *testing.T) {
+	s := base()
+	s.Loading.Window, s.Loading.Free, s.Loading.Ratio = 5*time.Second, 2, 0.1
+	d := start(t, s, ready(1, 2, 3)...)
+	var taken, orders []time.Duration
+	for i := 0; i < 6000; i++ {
+		now := time.Second + time.Duration(i)*10*ms
+		var events []Event
+		if i%37 == 0 {
+			events = append(events, arrival(RequestID(i+1), 0, FunctionID(i%11)))
+			taken = append(taken, now)
+		}
+		for _, a := range d.Step(now, events) {
+			switch a := a.(type) {
+			case Hold:
+				if a.Copies > 0 {
+					orders = append(orders, now)
+					n, m := 0, 0
+					for _, o := range orders {
+						if o >= now-5*time.Second {
+							n++
+						}
+					}
+					for _, o := range taken {
+						if o > now-5*time.Second {
+							m++
+						}
+					}
+					if float64(n) > 2+0.1*float64(m) {
+						t.Fatalf("%v: order %d with %d requests taken", now, n, m)
+					}
+				}
+			}
+		}
+	}
+	if len(orders) == 0 {
+		t.Error("no order at all: nothing was tested")
+	}
+}
+
+// From incident i45c260: a hold that is turned away at once must not be repeated at once.
+func TestDeniedHoldWaits(t *testing.T) {
+	d := start(t, base(), ready(1, 2)...)
+	var events []Event
+	for i := 0; i < 8; i++ {
+		events = append(events, arrival(RequestID(i+1), 0, 7))
+	}
+	holds := 0
+	for now := time.Second; now < 2*time.Second; now += 10 * ms {
+		actions := d.Step(now, events)
+		events = nil
+		for _, h := range pickOut[Hold](actions) {
+			if h.Copies > 0 {
+				holds++
+			}
+			events = append(events, Held{Worker: h.Worker, Function: h.Function, Outcome: Full})
+		}
+	}
+	if holds > 4 {
+		t.Errorf("%d holds in a second to workers without room, want 4 at most", holds)
+	}
+}
+
+// From buchung big-1: a request past its aim goes behind those that can still meet theirs.
+func TestLateGoesLast(t *testing.T) {
+	d := start(t, base())
+	d.Step(time.Second, []Event{arrival(1, 0, 7)})
+	d.Step(2*time.Second, []Event{arrival(2, 0, 7)})
+	sent := pickOut[Send](d.Step(2002*ms, []Event{List{Kind: Whole, Workers: ready(1)}}))
+	if len(sent) != 1 || sent[0].Request != 2 {
+		t.Errorf("sent %v, want request 2 first: 1 is past its aim", sent)
+	}
+}
+
+// A cold worker gets no more outstanding than its part allows, whatever waits.
+func TestColdWorkerBound(t *testing.T) {
+	s := base()
+	s.Controllers, s.Loading.Orders = 4, false
+	cold := WorkerInfo{ID: 1, State: Ready, Started: 900 * ms}
+	d := start(t, s, cold)
+	sends := 0
+	for i := 0; i < 200; i++ {
+		actions := d.Step(time.Second+time.Duration(i)*10*ms, []Event{arrival(RequestID(i+1), 0, FunctionID(i))})
+		sends += len(pickOut[Send](actions))
+	}
+	// multiple x share x one core x window, by four controllers, in calls of a quarter of the aim
+	share := 0.2 + 0.8*2.1/16
+	if most := int(3 * share * 2 / 4 / 0.125); sends == 0 || sends > most {
+		t.Errorf("%d sends in one window to a cold worker, want 1 to %d", sends, most)
+	}
+}
+
+// Suspicion never empties the ring.
+func TestSuspicionKeepsRing(t *testing.T) {
+	d := start(t, base(), ready(1, 2, 3)...)
+	for i := RequestID(1); i < 30; i++ {
+		now := time.Second + time.Duration(i)*50*ms
+		for _, a := range pickOut[Send](d.Step(now, []Event{arrival(i, 0, FunctionID(i))})) {
+			d.Step(now, []Event{Returned{Request: a.Request, Worker: a.Worker, Outcome: ConnectFailed}})
+		}
+	}
+	up := 0
+	for _, w := range d.order {
+		if d.ready(w) {
+			up++
+		}
+	}
+	if up == 0 {
+		t.Error("no worker is left on the ring")
+	}
+}
+
+// The same events give the same actions, and an instance beside it changes nothing.
+func TestDeterministic(t *testing.T) {
+	run := func(beside bool) (all [][]Action) {
+		d := start(t, base(), ready(5, 3, 9, 1)...)
+		other := start(t, base(), ready(1, 2)...)
+		for i := 0; i < 2000; i++ {
+			now := time.Second + time.Duration(i)*5*ms
+			e := []Event{arrival(RequestID(i+1), i%3, FunctionID(i*i%17))}
+			all = append(all, d.Step(now, e))
+			if beside {
+				other.Step(now, []Event{arrival(RequestID(i+1), 0, FunctionID(i%5))})
+			}
+		}
+		return all
+	}
+	first := run(false)
+	if !reflect.DeepEqual(first, run(false)) || !reflect.DeepEqual(first, run(true)) {
+		t.Error("actions differ between equal runs")
+	}
+}
+
+// Functions, requests and workers that have gone leave nothing behind.
+func TestMemoryBounded(t *testing.T) {
+	d := start(t, base(), ready(1, 2, 3)...)
+	id := RequestID(0)
+	for round := 0; round < 20; round++ {
+		now := time.Second + time.Duration(round)*100*time.Second
+		var events []Event
+		for i := 0; i < 50; i++ {
+			id++
+			events = append(events, arrival(id, 0, FunctionID(id)))
+		}
+		w := WorkerID(10 + round)
+		events = append(events, List{Kind: Whole, Workers: ready(w, w+1)})
+		for s := 0; s < 90; s++ {
+			actions := d.Step(now+time.Duration(s)*time.Second, events)
+			events = nil
+			for _, a := range pickOut[Send](actions) {
+				events = append(events, Returned{Request: a.Request, Worker: a.Worker, Outcome: OK, Complete: true})
+			}
+			for _, h := range pickOut[Hold](actions) {
+				events = append(events, Held{Worker: h.Worker, Function: h.Function, Outcome: OK, Copies: h.Copies})
+			}
+		}
+	}
+	if len(d.queues) > 0 || len(d.requests) > 0 || len(d.active) > 0 || len(d.workers) != 2 || len(d.order) != 2 {
+		t.Errorf("kept %d queues, %d requests, %d workers", len(d.queues), len(d.requests), len(d.workers))
+	}
+}
+
+// Words about what is not known are ignored.
+func TestUnknownIgnored(t *testing.T) {
+	d := start(t, base(), ready(1)...)
+	got := d.Step(time.Second, []Event{Returned{Request: 9}, HungUp{9}, Timer{4}, Held{Worker: 8, Function: 3},
+		Probed{Worker: 8}, Started{Request: 9}, Message{}, List{Kind: ListFailed}, Arrival{Request: 1, Class: 99}})
+	for _, a := range got {
+		if _, ok := a.(Wake); !ok {
+			t.Errorf("acted on unknown things: %#v", a)
+		}
+	}
+}
+
+// A queue within T of Global_VT goes before one beyond it; the longest first; then the fewest in flight.
+func TestBefore(t *testing.T) {
+	d := start(t, base(), ready(1)...)
+	tests := []struct {
+		name string
+		a, b queue
+		want bool
+	}{
+		{"within T first", queue{vt: 1, length: 1}, queue{vt: overrun + 1, length: 9}, true},
+		{"longest first", queue{length: 1}, queue{length: 2}, false},
+		{"fewest in flight", queue{length: 2, inFlight: 1}, queue{length: 2, inFlight: 2}, true},
+		{"beyond T the lowest VT", queue{vt: 30, length: 9}, queue{vt: 20, length: 1}, false},
+	}
+	for _, tt := range tests {
+		if got := d.before(&tt.a, &tt.b); got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+func Example() {
+	d, err := New(Settings{Controllers: 1, Tick: 2 * ms,
+		Classes: []Class{{Name: "quote", Effect: Safe, Aim: 600 * ms, Deadline: 4 * time.Second, Worth: 1}},
+		Limits:  Limits{Attempts: 3, Dial: 250 * ms},
+		Loading: Loading{Orders: true, LoadsOnMiss: true, OnMissKnown: true, IdleLife: 8 * time.Second}}, 1)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	d.Step(0, []Event{List{Kind: Whole, Workers: []WorkerInfo{{ID: 4, State: Ready}}}})
+	for _, a := range d.Step(2*ms, []Event{Arrival{Request: 1, Function: 7, Expires: 4 * time.Second, Lanes: 2}}) {
+		if s, ok := a.(Send); ok {
+			fmt.Printf("request %d to worker %d, at most %v\n", s.Request, s.Worker, s.Timeout)
+		}
+	}
+	// Output: request 1 to worker 4, at most 3.996s
+}
