--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	coldSlack    = 1.5  // spacing of calls too large for the budget, over what the budget allows
 	ownLoads     = 2    // sends at once to one worker where a load is likely: the store is shared by all
 	guessLoad    = 1.5  // load time before one was seen, of the aim
-	spillAfter   = 0.5  // wait at a busy home, of the aim, before a further copy is worth its load
+	spillAfter   = 0.25 // wait at a busy home, of the aim, before a further copy is worth its load
 	leadPatience = 2.0  // load times that others wait for the request that began a load
 	graceTicks   = 2    // ticks kept for our own answer before the deadline
 )
