The wait for a further copy follows how crowded memory is seen to be

Change: the share of answers that began a load where a copy was believed to stand raises the wait, to one aim at most. Should also hold against flushes and machines lost; where answers do not tell of loads it does not act.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -34,17 +33,20 @@
 	ownLoads     = 2    // sends at once to one worker where a load is likely: the store is shared by all
 	guessLoad    = 1.5  // load time before one was seen, of the aim
 	spillAfter   = 0.25 // wait at a busy home, of the aim, before a further copy is worth its load
+	spillCrowd   = 10.0 // added to spillAfter for each share of believed copies that had been pushed out
+	crowdWeight  = 0.02 // of one answer in that share
 	leadPatience = 2.0  // load times that others wait for the request that began a load
 	graceTicks   = 2    // ticks kept for our own answer before the deadline
 )
 
-// New returns a dispatcher for one controller, or an error that names the field that is wrong.
-func New(s Settings, seed uint64) (*Dispatcher, error) {
+// New returns a dispatcher for one controller, or an error that names the field that is wrong. All random
+// draws would come from the seed; no decision draws any today.
+func New(s Settings, _ uint64) (*Dispatcher, error) {
 	if err := check(&s); err != nil {
 		return nil, err
 	}
-	d := &Dispatcher{s: s, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		workers: map[WorkerID]*worker{}, queues: map[FunctionID]*queue{}, requests: map[RequestID]*request{}}
+	d := &Dispatcher{s: s, workers: map[WorkerID]*worker{}, queues: map[FunctionID]*queue{},
+		requests: map[RequestID]*request{}}
 	for _, c := range s.Classes {
 		d.classRun = append(d.classRun, guessRun*c.Aim.Seconds())
 		d.meanRun += guessRun * c.Aim.Seconds() / float64(len(s.Classes))
@@ -417,7 +419,7 @@
 			return nil
 		}
 		return spare
-	case d.now-r.at < time.Duration(spillAfter*float64(d.s.Classes[r.Class].Aim)) || loading || !d.fresh(r):
+	case d.now-r.at < d.spillWait(r) || loading || !d.fresh(r):
 		return nil
 	case d.prepare(q, spare) || !d.coldRoom(spare, work):
 		return nil
@@ -425,6 +427,13 @@
 	return spare
 }
 
+// spillWait grows with the share of copies found pushed out: where memory is short, a further copy costs
+// another function its only one.
+func (d *Dispatcher) spillWait(r *request) time.Duration {
+	share := min(1, spillAfter+spillCrowd*d.crowded)
+	return time.Duration(share * float64(d.s.Classes[r.Class].Aim))
+}
+
 // patience is how long the rest of a queue waits for a load under way.
 func (d *Dispatcher) patience(q *queue, r *request) time.Duration {
 	switch {
@@ -546,9 +555,7 @@
 	w.benched, w.asked = true, 0
 	w.backAt = d.now + time.Duration(min(span, benchCold*float64(d.s.Guarantees.ColdFor)))
 	w.benches++
-	for _, r := range d.open {
-		d.rescue(r, w)
-	}
+	d.rescue(w)
 }
 
 // health asks workers that are quiet with something out, benches those that stay so, and tries the benched.
@@ -601,7 +608,7 @@
 	switch e.Outcome {
 	case OK:
 		d.answered(w, OK)
-		w.strikes, w.fulls, w.doubt = 0, 0, false
+		w.strikes, w.fulls = 0, 0
 		if e.Note == BeganLoad {
 			w.denied = 0
 		}
@@ -610,6 +617,9 @@
 		}
 		r.q.spot(w).seen = d.now
 		cold := e.Note == BeganLoad || e.Note == AwaitedOne
+		if !t.load {
+			d.crowded += crowdWeight * (btof(e.Note == BeganLoad) - d.crowded)
+		}
 		if e.Note == BeganLoad {
 			r.q.load = mean(r.q.load, took)
 		}
@@ -731,20 +741,18 @@
 		c.Scope == SameZone && w.Zone == first.zone || c.Scope == SameGroup && w.Group == first.group)
 }
 
-// rescue finds another worker for a request that waits on one that no longer answers.
-func (d *Dispatcher) rescue(r *request, w *worker) {
-	if r.ended || r.waiting {
-		return
-	}
-	for i := range r.tries {
-		if t := &r.tries[i]; t.w == w && !t.done && d.s.Classes[r.Class].Effect != Unsafe {
-			if d.s.Limits.Duplicate {
-				r.cover = true
-				if d.mayTry(r) {
-					d.enqueue(r)
-				}
-			} else if len(r.tries) < d.s.Limits.Attempts {
+// rescue finds another worker for what waits on one that no longer answers.
+func (d *Dispatcher) rescue(w *worker) {
+	for _, r := range d.open {
+		for i := range r.tries {
+			t := &r.tries[i]
+			if r.ended || r.waiting || t.w != w || t.done || d.s.Classes[r.Class].Effect == Unsafe {
+				continue
+			}
+			if r.cover = d.s.Limits.Duplicate; !r.cover && len(r.tries) < d.s.Limits.Attempts {
 				d.cancel(r, i)
+			} else if r.cover && d.mayTry(r) {
+				d.enqueue(r)
 			}
 		}
 	}
@@ -842,7 +850,7 @@
 		if w == nil {
 			w = &worker{tokens: startTokens}
 			if l.Kind == Cached {
-				w.doubt, w.tokens = true, 1
+				w.tokens = 1 // it may be stale: little trust until it answers
 			}
 			d.workers[i.ID] = w
 			d.order = append(d.order, w)
@@ -871,9 +879,7 @@
 	w.State = Gone
 	delete(d.workers, w.ID)
 	d.order = slices.DeleteFunc(d.order, func(o *worker) bool { return o == w })
-	for _, r := range d.open {
-		d.rescue(r, w)
-	}
+	d.rescue(w)
 	for _, q := range d.active {
 		if sp := q.spots[w]; sp != nil && sp.out == 0 {
 			delete(q.spots, w)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -417,3 +417,21 @@
 	}
 	// Output: request 1 to worker 4, at most 3.996s
 }
+
+// From i45c260: where copies turn out pushed out, a further copy waits longer.
+func TestSpillWaitsWhereMemoryIsShort(t *testing.T) {
+	d := start(t, base(), ready(1)...)
+	r := &request{}
+	before := d.spillWait(r)
+	now := time.Second
+	for i := RequestID(1); i <= 40; i++ {
+		now += 100 * ms
+		for _, a := range pickOut[Send](d.Step(now, []Event{arrival(i, 0, 7)})) {
+			d.Step(now, []Event{Returned{Request: a.Request, Worker: 1, Outcome: OK, Complete: true, Took: 50 * ms,
+				Note: BeganLoad}})
+		}
+	}
+	if after := d.spillWait(r); after <= before || after > 500*ms {
+		t.Errorf("wait %v before, %v after copies were pushed out; want longer, at most the aim", before, after)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -10,7 +9,6 @@
 // A Dispatcher decides for one controller. It is not safe for concurrent use.
 type Dispatcher struct {
 	s        Settings
-	rng      *rand.Rand
 	now      time.Duration
 	out      []Action
 	workers  map[WorkerID]*worker
@@ -25,6 +23,7 @@
 	classRun []float64 // mean run time of a class, seconds
 	meanRun  float64
 	wakeAt   time.Duration
+	crowded  float64         // share of copies believed to stand that had been pushed out
 	paces    []float64       // scratch
 	arrivals []time.Duration // within the load window
 	orders   []time.Duration
@@ -37,7 +36,6 @@
 
 type worker struct {
 	WorkerInfo
-	doubt    bool // known from a cached list only
 	tokens   float64
 	out      int     // attempts out
 	busy     int     // of them, those that hold a token
@@ -168,3 +166,10 @@
 	slices.Sort(v)
 	return v[len(v)/2]
 }
+
+func btof(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
