--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,207 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"kitehub/choice"
+)
+
+func unhex(t *testing.T, s string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(strings.Join(strings.Fields(s), ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// frame wraps record bytes in the header of a batch.
+func frame(records []byte, count byte) []byte {
+	n := headerSize + len(records)
+	return append([]byte{0x40, 0xc0, 0x6e, 0x20, 0, 0, 0, 0, 0, 0, byte(n >> 8), byte(n), 0, 0, 0, count}, records...)
+}
+
+const worker = choice.WorkerID(0x0a124a071f43)
+
+var events = []struct {
+	name string
+	hex  string
+	want any
+}{
+	{"JOB_IN", `02 00000003 000121185d3a91c4 0000 00000000 0000007c55d20a01 406e000000000000 4028000000000000
+		43c00000 40000000 00000000 01`,
+		choice.Arrival{Request: 0x121185d3a91c4, Function: 0x7c55d20a01, Expires: 240 * time.Millisecond,
+			Hint: 12 * time.Millisecond, HasHint: true, MemoryMB: 384, Lanes: 2}},
+	{"ELAPSED", `06 00000003 000000000000004d`, choice.Timer{Token: 0x4d}},
+	{"HANGUP", `05 00000003 000dbb200e6f2b19`, choice.HungUp{Request: 0xdbb200e6f2b19}},
+	{"STREAMING", `03 00000003 000121185d3a91c4 4022800000000000 0a124a07 1f43 00`,
+		choice.Started{Request: 0x121185d3a91c4, Took: 9250 * time.Microsecond, Worker: worker}},
+	{"RETURNED", `04 00000003 000121185d3a91c4 00 0a124a07 1f43 0001 4032800000000000 01 0a 01 40000000`,
+		choice.Returned{Request: 0x121185d3a91c4, Worker: worker, Outcome: choice.OK,
+			Took: 18500 * time.Microsecond, Complete: true, Note: choice.BeganLoad, Alike: 1, Report: []float64{2}}},
+	{"PROBE_DONE", `07 00000003 0001 0a124a07 1f43 3ff8000000000000 02 4040000040e00000`,
+		choice.Probed{Worker: worker, Outcome: choice.OK, Took: 1500 * time.Microsecond, Report: []float64{3, 7}}},
+	{"MAIL", `08 00000003 00000002 0004 68692037`, choice.Message{From: 2, Payload: []byte("hi 7")}},
+	{"LOAD_DONE", `0a 00000003 0a124a07 1f43 0000007c55d20a01 0001 4084000000000000 01`,
+		choice.Held{Worker: worker, Function: 0x7c55d20a01, Outcome: choice.OK, Took: 640 * time.Millisecond,
+			Copies: 1}},
+	{"HALT", `09 00000003`, Halt{}},
+	{"PROVISION", `00 00000003 0000000000000009 00000002 7b7d`, Provision{Seed: 9, Env: []byte("{}")}},
+	{"FLEET failed", `01 00000003 03 00000007 0000`, choice.List{Kind: choice.ListFailed, Version: 7}},
+}
+
+func TestEvents(t *testing.T) {
+	for _, tt := range events {
+		d := NewDecoder(bytes.NewReader(frame(unhex(t, tt.hex), 1)))
+		b, err := d.Read()
+		if err != nil {
+			t.Errorf("%s: %v", tt.name, err)
+			continue
+		}
+		if len(b.Records) != 1 || b.Records[0].Instance != 3 || !reflect.DeepEqual(b.Records[0].Event, tt.want) {
+			t.Errorf("%s: got %+v, want %+v", tt.name, b.Records, tt.want)
+		}
+		if _, err := d.Read(); err != io.EOF {
+			t.Errorf("%s: after the last frame: %v, want io.EOF", tt.name, err)
+		}
+	}
+}
+
+// A number is resolved to its list in event order, also where one batch takes it over.
+func TestPoolOrder(t *testing.T) {
+	entry := func(id byte) string {
+		return `3f800000 0000000000000000 0001 0a0000` + hex.EncodeToString([]byte{id}) + ` 1f43 03 01 0002`
+	}
+	fleet := ` 01 00000003 01 00000029 0000 `
+	b, err := NewDecoder(bytes.NewReader(frame(unhex(t, `0b 0000 00000001 `+entry(1)+fleet+`0b 0000 00000001 `+
+		entry(2)+fleet), 4))).Read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, id := range []choice.WorkerID{0x0a0000011f43, 0x0a0000021f43} {
+		want := choice.List{Kind: choice.Whole, Version: 0x29, Workers: []choice.WorkerInfo{{ID: id, Size: 1, Group: 1,
+			State: choice.Ready, Kind: 1, Zone: 2}}}
+		if got := b.Records[i].Event; !reflect.DeepEqual(got, want) {
+			t.Errorf("list %d: %+v, want %+v", i, got, want)
+		}
+	}
+}
+
+func TestActions(t *testing.T) {
+	tests := []struct {
+		action choice.Action
+		hex    string
+	}{
+		{choice.Send{Request: 0x121185d3a91c4, Worker: worker, Timeout: 80 * time.Millisecond},
+			`00 00000003 000121185d3a91c4 4054000000000000 0a124a07 1f43`},
+		{choice.Refuse{Request: 0xdbb200e6f2b19, After: 250 * time.Millisecond},
+			`01 00000003 000dbb200e6f2b19 406f400000000000`},
+		{choice.Fail{Request: 0xdbb200e6f2b19}, `02 00000003 000dbb200e6f2b19`},
+		{choice.Cancel{Request: 0x121185d3a91c4, Attempt: 1}, `03 00000003 000121185d3a91c4 01`},
+		{choice.Wake{At: 8964250 * time.Microsecond, Token: 0x4d}, `04 00000003 40c1822000000000 000000000000004d`},
+		{choice.Probe{Worker: worker}, `05 00000003 0a124a07 1f43`},
+		{choice.Close{Worker: worker}, `06 00000003 0a124a07 1f43`},
+		{choice.Tell{To: choice.Everyone, Payload: []byte("hi 7")}, `07 00000003 ffff 0004 68692037`},
+		{choice.Log{Text: "two servers known"}, `08 00000003 0011 74776f2073657276657273206b6e6f776e`},
+		{choice.Watch{On: true}, `0a 00000003 01`},
+		{choice.Fetch{}, `0b 00000003`},
+		{choice.Hold{Worker: worker, Function: 0x7c55d20a01, Copies: 1}, `0c 00000003 0a124a07 1f43 0000007c55d20a01 01`},
+		{choice.Unload{Worker: worker, Function: 0x7c55d20a01}, `0d 00000003 0a124a07 1f43 0000007c55d20a01`},
+	}
+	for _, tt := range tests {
+		var e Encoder
+		e.Reset()
+		if err := e.Action(3, tt.action); err != nil {
+			t.Errorf("%T: %v", tt.action, err)
+		}
+		if got, want := e.Bytes()[8:], unhex(t, tt.hex); !bytes.Equal(got, want) {
+			t.Errorf("%T: %x, want %x", tt.action, got, want)
+		}
+		if e.Bytes()[7] != 1 || int(e.Bytes()[3]) != len(e.Bytes()) {
+			t.Errorf("%T: header %x", tt.action, e.Bytes()[:8])
+		}
+	}
+}
+
+// A frame cut at any byte is an error, never a hang, a crash or end of input.
+func TestTruncated(t *testing.T) {
+	for _, tt := range events {
+		whole := frame(unhex(t, tt.hex), 1)
+		for n := 1; n < len(whole); n++ {
+			if _, err := NewDecoder(bytes.NewReader(whole[:n])).Read(); err == nil || err == io.EOF {
+				t.Errorf("%s cut at %d: error %v", tt.name, n, err)
+			}
+			short := append([]byte(nil), whole[:n]...)
+			if n >= headerSize {
+				short[11], short[10] = byte(n), byte(n>>8)
+				if _, err := NewDecoder(bytes.NewReader(short)).Read(); err == nil || errors.Is(err, io.EOF) {
+					t.Errorf("%s with length %d: error %v", tt.name, n, err)
+				}
+			}
+		}
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	tests := []struct{ name, hex, want string }{
+		{"unknown code", `63 00000003`, "offset 16: unknown record code 99"},
+		{"list without POOL", `01 00000003 01 00000029 0005`, "FLEET, offset 26: list 5 has no POOL"},
+		{"entries past the frame", `0b 0000 ffffffff`, "POOL, offset 19: count of 4294967295 entries"},
+		{"settings past the frame", `00 00000003 0000000000000009 ffffffff`, "PROVISION, offset 33"},
+		{"unknown outcome", `07 00000003 0063 0a124a07 1f43 3ff8000000000000 00`, "PROBE_DONE, offset 21"},
+	}
+	for _, tt := range tests {
+		_, err := NewDecoder(bytes.NewReader(frame(unhex(t, tt.hex), 1))).Read()
+		if err == nil || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%s: %v, want it to say %q", tt.name, err, tt.want)
+		}
+	}
+}
+
+func TestDurations(t *testing.T) {
+	for us := int64(0); us < 1e12; us = us*3 + 1 {
+		d := time.Duration(us) * time.Microsecond
+		if got := ToDuration(FromDuration(d)); got != d {
+			t.Errorf("%v comes back as %v", d, got)
+		}
+	}
+}
+
+func TestSettings(t *testing.T) {
+	s, err := ParseSettings([]byte(`{"balancers": 3, "new": [1], "tickMs": 2.5, "membershipMode": "ask", "classes":
+		[{"effect": "token", "keyScope": "cell", "giveUpMs": 4000, "targetMs": 600, "windowMs": 5000, "worth": 1}],
+		"domain": {"onMiss": "miss", "idleLifeMs": 8500}, "limits": {"mostTries": 3}, "report": {"via": "probe",
+		"fields": ["backlog", "x1"]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.Classes[0]
+	if s.Controllers != 3 || s.Tick != 2500*time.Microsecond || !s.AskForList || c.Effect != choice.Keyed ||
+		c.Scope != choice.SameGroup || c.Window != 5*time.Second || s.Loading.LoadsOnMiss || !s.Loading.OnMissKnown ||
+		s.ReportVia != choice.ReportsInProbes || !reflect.DeepEqual(s.Report,
+		[]choice.ReportField{choice.FieldQueue, choice.FieldX1}) {
+		t.Errorf("got %+v", s)
+	}
+	if _, err := ParseSettings([]byte("{")); err == nil {
+		t.Error("settings that are no JSON: no error")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, tt := range events {
+		b, _ := hex.DecodeString(strings.Join(strings.Fields(tt.hex), ""))
+		f.Add(frame(b, 1))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if _, err := NewDecoder(nil).Decode(b); err == nil && len(b) < headerSize {
+			t.Error("a frame shorter than its header was read")
+		}
+	})
+}
