--- a/choice/choice.go
+++ b/choice/choice.go
@@ -109,6 +109,10 @@
 func (d *Dispatcher) sweep() {
 	kept := d.open[:0]
 	for _, r := range d.open {
+		if r.due && !r.ended {
+			d.again(r)
+		}
+		r.due = false
 		if !r.ended && d.now >= r.final {
 			d.finish(r)
 		}
@@ -657,10 +661,7 @@
 		d.end(r)
 		return
 	}
-	if r.ended {
-		return
-	}
-	d.again(r)
+	r.due = true // answered after the step's events: the next may be the client leaving
 }
 
 // again queues a request for another attempt, waits for one that is out, or answers.
--- a/choice/state.go
+++ b/choice/state.go
@@ -110,6 +110,7 @@
 	tries   []attempt
 	waiting bool
 	ended   bool
+	due     bool // what follows an outcome is decided after the events of the step
 	cover   bool // an attempt is given up on: another may go out beside it
 }
 
