--- a/choice/choice.go
+++ b/choice/choice.go
@@ -537,12 +537,8 @@
 		return
 	}
 	w.heard = d.now
-	if w.benched {
-		// It may have started anew before the list says so, unless this answers what went out before.
-		w.benched, w.strikes = false, 0
-		if w.out == 0 && w.coldFrom < w.backAt-d.s.Guarantees.ColdFor {
-			w.tokens, w.coldFrom = 1, d.now
-		}
+	if w.benched { // it may have started anew before the list says so: begin low
+		w.benched, w.strikes, w.tokens = false, 0, 1
 	}
 }
 
