A worker slow even with one token pauses as long as its answer took

It should also hold against neighbours that take a machine on and off; harms where one worker is home to the long functions of a class.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -632,7 +632,9 @@
 			w.pace = mean(w.pace, took/d.classRun[r.Class])
 			switch {
 			case e.Took > c.Aim || w.pace > paceOver*d.usualPace():
-				w.tokens = max(1, w.tokens*paceCut)
+				if w.tokens = max(1, w.tokens*paceCut); w.tokens == 1 { // even one at a time is too much
+					w.pauseTo = d.now + seconds(min(took, c.Aim.Seconds()))
+				}
 			case float64(w.busy+1) >= math.Floor(w.tokens):
 				w.tokens++
 			}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -435,3 +435,28 @@
 		t.Errorf("wait %v before, %v after copies were pushed out; want longer, at most the aim", before, after)
 	}
 }
+
+// From i9cf6b9 and slow days: a worker far slower than its peers gets a pause even when it holds one token only.
+func TestSlowWorkerPauses(t *testing.T) {
+	d := start(t, base(), ready(1, 2, 3)...)
+	now, share := time.Second, map[WorkerID]int{}
+	for i := RequestID(1); i <= 300; i++ {
+		now += 30 * ms
+		for _, a := range pickOut[Send](d.Step(now, []Event{arrival(i, 0, FunctionID(i%6))})) {
+			took := 20 * ms
+			if a.Worker == 1 {
+				took = 300 * ms
+			}
+			share[a.Worker]++
+			d.Step(now, []Event{Returned{Request: a.Request, Worker: a.Worker, Outcome: OK, Complete: true, Took: took,
+				Note: FoundWarm}})
+		}
+	}
+	slow := d.workers[1]
+	if share[1] == 0 {
+		t.Fatal("worker 1 is no function's home: nothing was tested")
+	}
+	if slow.tokens > 1 || slow.pauseTo == 0 {
+		t.Errorf("slow worker: %v tokens, pause to %v; want one token and a pause", slow.tokens, slow.pauseTo)
+	}
+}
