--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -84,7 +84,7 @@
 		case choice.Event:
 			d := h.live[rec.Instance]
 			if d == nil {
-				return nil, fmt.Errorf("%T, offset %d: instance %d does not live", e, rec.Offset, rec.Instance)
+				return nil, fmt.Errorf("%s, offset %d: instance %d does not live", rec.Name, rec.Offset, rec.Instance)
 			}
 			i := h.slot[rec.Instance]
 			if i == 0 {
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -66,7 +66,7 @@
 		{"a new life knows nothing", [][]byte{batch(1, provision(3, env), worker, fleet, job, halt,
 			provision(3, env)), batch(2, job)}, []int{-1, 4}, ""},
 		{"rejected settings", [][]byte{batch(1, provision(3, "{}"))}, []int{9}, ""},
-		{"dead instance", [][]byte{batch(1, job)}, nil, "instance 3 does not live"},
+		{"dead instance", [][]byte{batch(1, job)}, nil, "JOB_IN, offset 16: instance 3 does not live"},
 		{"no JSON", [][]byte{batch(1, provision(3, "]"))}, nil, "PROVISION"},
 		{"short frame", [][]byte{batch(math.Pi)[:15]}, nil, "short frame"},
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -67,7 +67,8 @@
 type Record struct {
 	Instance uint32
 	Event    any
-	Offset   int // of its first byte in the frame, for messages
+	Name     string // of the record, for messages
+	Offset   int    // of its first byte in the frame, for messages
 }
 
 // A Batch is one frame of events.
@@ -156,7 +157,7 @@
 			if code == codePool {
 				d.pool(&c)
 			} else {
-				rec := Record{Instance: c.u32(), Offset: at}
+				rec := Record{Instance: c.u32(), Name: names[code], Offset: at}
 				rec.Event = d.event(&c, code)
 				b.Records = append(b.Records, rec)
 			}
