Cold workers: credit by what is answered, staked on a draw; an ejected worker that fails stays off

Now each call answered anywhere credits each cold worker with its even part, times share and half the stated multiple; part of a call is staked on a draw from the seed. The argument stands at coldRoom. A cold worker without room is passed over as if it were not on the ring, so nothing waits for it. Should also hold in pre-emption waves and restarts of most controllers; could harm a fleet whose answers stop, where only an equal part of one core is credited. Bench is called ejection from here on.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -23,30 +24,31 @@
 	quietRuns    = 3.0  // no answer for so many mean runs: ask the worker whether it lives
 	paceOver     = 1.5  // answers slower than usual by this: the worker has too much in hand, or is slow
 	paceCut      = 0.9  // of the tokens, then; ten such answers weigh more than the halving after a refusal
-	benchDials   = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
-	benchCold    = 0.5  // longest time off the ring, of the warm-up time
+	ejectDials   = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
+	ejectCold    = 0.5  // longest time off the ring, of the warm-up time
 	askDials     = 3.0  // dial time-outs that a question may go without an answer
 	strikeOut    = 2    // failures in a row that take a worker off the ring
 	fullPause    = 0.5  // pause after a refusal, in mean runs: room comes when a run ends
-	coldCores    = 1.0  // cores a cold worker is taken to have: low, as its capacity is never told
-	coldSlack    = 1.5  // spacing of calls too large for the budget, over what the budget allows
+	coldPart     = 0.5  // of the budget of a cold worker that is used: calls differ, workers too
+	coldCores    = 1.0  // cores a cold worker is taken to have where little is answered: it is never told
 	ownLoads     = 2    // sends at once to one worker where a load is likely: the store is shared by all
 	guessLoad    = 1.5  // load time before one was seen, of the aim
 	spillAfter   = 0.25 // wait at a busy home, of the aim, before a further copy is worth its load
 	spillCrowd   = 10.0 // added to spillAfter for each share of believed copies that had been pushed out
 	crowdWeight  = 0.02 // of one answer in that share
 	leadPatience = 2.0  // load times that others wait for the request that began a load
+	jitter       = 0.5  // of a time off the ring: controllers that saw the same do not return in step
 	graceTicks   = 2    // ticks kept for our own answer before the deadline
 )
 
 // New returns a dispatcher for one controller, or an error that names the field that is wrong. All random
-// draws would come from the seed; no decision draws any today.
-func New(s Settings, _ uint64) (*Dispatcher, error) {
+// draws come from the seed.
+func New(s Settings, seed uint64) (*Dispatcher, error) {
 	if err := check(&s); err != nil {
 		return nil, err
 	}
 	d := &Dispatcher{s: s, workers: map[WorkerID]*worker{}, queues: map[FunctionID]*queue{},
-		requests: map[RequestID]*request{}}
+		requests: map[RequestID]*request{}, rng: rand.New(rand.NewPCG(seed, seed))}
 	for _, c := range s.Classes {
 		d.classRun = append(d.classRun, guessRun*c.Aim.Seconds())
 		d.meanRun += guessRun * c.Aim.Seconds() / float64(len(s.Classes))
@@ -288,11 +290,11 @@
 // ready tells whether a worker may be sent anything new. Suspicion never takes more than half of the ring:
 // when most workers look bad, the fault is more likely ours or the network's.
 func (d *Dispatcher) ready(w *worker) bool {
-	return w.State == Ready && (!w.benched || 2*d.benched() > len(d.order))
+	return w.State == Ready && (!w.ejected || 2*d.ejected() > len(d.order))
 }
 
-func (d *Dispatcher) hasToken(w *worker, work float64) bool {
-	return float64(w.busy) < max(1, math.Floor(w.tokens)) && d.now >= w.pauseTo && d.coldRoom(w, work)
+func (d *Dispatcher) hasToken(w *worker) bool {
+	return float64(w.busy) < max(1, math.Floor(w.tokens)) && d.now >= w.pauseTo
 }
 
 // usualPace is the median pace of the workers that answered: a slow answer of one worker among its peers is
@@ -388,27 +390,34 @@
 func (d *Dispatcher) pick(q *queue, r *request) *worker {
 	var home, spare *worker
 	work := d.classRun[r.Class]
-	loading := false
+	loading, cold := false, false
 	for _, w := range d.walk(q) {
 		if !d.ready(w) || !d.maySend(r, w) {
 			continue
 		}
 		sp := q.spots[w]
-		if d.warm(sp, w) {
+		warm := d.warm(sp, w)
+		// A cold worker loads as fast as any, but calls that wait for it would fill its small part.
+		if d.share(w) < 1 && !warm && (d.s.Loading.Orders || !d.coldRoom(w, work)) {
+			cold = cold || d.prepare(q, w)
+			continue
+		}
+		if warm {
 			// Past the lanes of the copies a worker starts another by itself, which pushes others out.
-			if float64(sp.out) < max(1, r.Lanes*float64(max(1, sp.copies))) && d.hasToken(w, work) {
+			lanes := max(1, r.Lanes*float64(max(1, sp.copies)))
+			if float64(sp.out) < lanes && d.hasToken(w) && d.coldRoom(w, work) {
 				if home != nil {
 					d.prepare(q, home)
 				}
 				return w
 			}
+			if d.share(w) < 1 {
+				continue
+			}
 		} else if sp != nil && (sp.lead > 0 || sp.ordered > 0) && d.now-sp.since < d.patience(q, r) {
 			loading = true
-		} else if w.loads < ownLoads && d.now >= max(w.pauseTo, w.loadTo) &&
-			(d.s.Loading.Orders || d.coldRoom(w, work)) {
-			if spare == nil {
-				spare = w
-			}
+		} else if spare == nil && w.loads < ownLoads && d.now >= max(w.pauseTo, w.loadTo) {
+			spare = w
 		}
 		if home == nil {
 			home = w
@@ -418,14 +427,8 @@
 	case spare == nil:
 		return nil
 	case spare == home && !loading:
-		// A cold worker loads as fast as any, but one call that waits for it would fill its small part.
-		if d.share(spare) < 1 && d.prepare(q, spare) || !d.coldRoom(spare, work) {
-			return nil
-		}
 		return spare
-	case d.now-r.at < d.spillWait(r) || loading || !d.fresh(r):
-		return nil
-	case d.prepare(q, spare) || !d.coldRoom(spare, work):
+	case d.now-r.at < d.spillWait(r) || loading || !d.fresh(r) || d.prepare(q, spare):
 		return nil
 	}
 	return spare
@@ -459,10 +462,7 @@
 // prepare orders a copy where one is wanted soon, and tells whether one is coming.
 func (d *Dispatcher) prepare(q *queue, w *worker) bool {
 	sp := q.spot(w)
-	if sp.ordered > 0 || d.warm(sp, w) {
-		return true
-	}
-	return d.now >= w.loadTo && d.hold(w, q.fn, 1)
+	return sp.ordered > 0 || d.warm(sp, w) || d.now >= w.loadTo && d.hold(w, q.fn, 1)
 }
 
 func (d *Dispatcher) send(r *request, w *worker) {
@@ -486,8 +486,7 @@
 		w.busy++
 	}
 	w.out++
-	w.work += work
-	w.lastSend, w.fn = d.now, q.fn
+	w.fn = q.fn
 	r.tries = append(r.tries, t)
 	d.do(Send{Request: r.Request, Worker: w.ID, Timeout: max(r.final-d.now, d.s.Tick)})
 }
@@ -503,27 +502,31 @@
 	return g.ColdShare + (1-g.ColdShare)*float64(max(0, d.now-w.coldFrom))/float64(g.ColdFor)
 }
 
-// coldRoom keeps a cold worker from being pushed over. Work sent within a window is at most what the worker
-// finished plus what is outstanding, so (factor-1) x share x capacity x window of it outstanding, over all
-// controllers, cannot spend the budget. Where one call is more than our part, calls are spaced.
+// coldRoom keeps a cold worker from being pushed over by all controllers together, with no word between them.
+// For each call answered anywhere, its share of a worker's even part may go there: what is answered cannot
+// pass what the fleet can do, so the sum over the controllers stays under the same part of that worker's
+// capacity, however the traffic is spread over them. What is unused fades within the window. Credit for part
+// of a call is staked on a draw, so that many controllers with little each keep to the sum on the average.
+// Where little is answered (a fleet that is cold all over) an equal part of one core is credited.
 func (d *Dispatcher) coldRoom(w *worker, work float64) bool {
-	share := d.share(w)
+	share, g := d.share(w), d.s.Guarantees
 	if share >= 1 {
-		w.linger = nil
 		return true
 	}
-	g, n := d.s.Guarantees, float64(d.s.Controllers)
-	held := w.work
-	for _, l := range w.linger {
-		if l.until > d.now {
-			held += l.work
-		}
+	window, dt := g.FallWithin.Seconds(), (d.now - max(w.creditAt, w.coldFrom)).Seconds()
+	if dt > 0 {
+		gain := max((d.served-w.served)/max(d.effective, 1), dt*coldCores/float64(d.s.Controllers))
+		kept := math.Exp(-dt / window)
+		w.credit = w.credit*kept + coldPart*g.FallFactor*share*gain*window/dt*(1-kept)
+		w.creditAt, w.served = d.now, d.served
 	}
-	if held+work <= (g.FallFactor-1)*share*coldCores*g.FallWithin.Seconds()/n {
+	if w.credit >= work {
+		w.credit -= work
 		return true
 	}
-	space := coldSlack * work * n / max(g.FallFactor*share*coldCores, 1e-6)
-	return held < work/2 && (d.now-w.lastSend).Seconds() >= space
+	stake := w.credit
+	w.credit = 0
+	return d.rng.Float64()*work < stake
 }
 
 // answered notes any sign of life of a worker.
@@ -537,44 +540,49 @@
 		return
 	}
 	w.heard = d.now
-	if w.benched { // it may have started anew before the list says so: begin low
-		w.benched, w.strikes, w.tokens = false, 0, 1
+	if w.ejected { // it may have started anew before the list says so: begin low
+		w.ejected, w.strikes, w.tokens = false, 0, 1
 	}
 }
 
 func (d *Dispatcher) strike(w *worker) {
 	w.strikes++
-	if w.strikes >= strikeOut && !w.benched {
-		d.bench(w)
+	if w.strikes >= strikeOut && (!w.ejected || d.now >= w.backAt) {
+		d.eject(w)
 	}
 }
 
-// bench takes a worker off the ring for a growing, bounded time and finds another for what it holds.
-func (d *Dispatcher) bench(w *worker) {
-	span := benchDials * float64(d.s.Limits.Dial) * math.Pow(2, float64(min(w.benches, 10)))
-	w.benched, w.asked = true, 0
-	w.backAt = d.now + time.Duration(min(span, benchCold*float64(d.s.Guarantees.ColdFor)))
-	w.benches++
+// eject takes a worker off the ring for a growing, bounded time and finds another for what it holds.
+func (d *Dispatcher) eject(w *worker) {
+	span := ejectDials * float64(d.s.Limits.Dial) * math.Pow(2, float64(min(w.ejections, 10)))
+	w.ejected, w.asked = true, 0
+	span = min(span, ejectCold*float64(d.s.Guarantees.ColdFor))
+	w.backAt = d.now + time.Duration(span*(1+jitter*(d.rng.Float64()-0.5)))
+	w.ejections++
 	d.rescue(w)
 }
 
-// health asks workers that are quiet with something out, benches those that stay so, and tries the benched.
+// health asks workers that are quiet with something out, ejections those that stay so, and tries the ejected.
 func (d *Dispatcher) health() {
 	quiet := max(d.s.Limits.Dial, seconds(quietRuns*d.meanRun))
 	patience := seconds(askDials * d.s.Limits.Dial.Seconds()) // a busy worker answers questions late as well
+	d.effective = 0
 	for _, w := range d.order {
+		if d.ready(w) {
+			d.effective += d.share(w)
+		}
 		switch {
-		case w.benched && d.now >= w.backAt && w.asked == 0:
+		case w.ejected && d.now >= w.backAt && w.asked == 0:
 			if !d.ask(w) {
 				d.answered(w, OK)
 			}
-		case w.benched && w.asked > 0 && d.now-w.asked > patience:
-			d.bench(w)
-		case w.benched || w.out == 0 || d.now-max(w.since, w.heard) <= quiet:
+		case w.ejected && w.asked > 0 && d.now-w.asked > patience:
+			d.eject(w)
+		case w.ejected || w.out == 0 || d.now-max(w.since, w.heard) <= quiet:
 		case w.asked == 0:
 			d.ask(w)
 		case d.now-w.asked > patience && w.heard < w.asked:
-			d.bench(w)
+			d.eject(w)
 		}
 	}
 }
@@ -612,8 +620,8 @@
 		if e.Note == BeganLoad {
 			w.denied = 0
 		}
-		if !w.benched {
-			w.benches = 0
+		if !w.ejected {
+			w.ejections = 0
 		}
 		r.q.spot(w).seen = d.now
 		cold := e.Note == BeganLoad || e.Note == AwaitedOne
@@ -627,8 +635,6 @@
 			r.q.run = mean(r.q.run, took)
 			d.classRun[r.Class] = mean(d.classRun[r.Class], took)
 			d.meanRun = mean(d.meanRun, took)
-		}
-		if e.Note == FoundWarm || !cold && !t.load {
 			w.pace = mean(w.pace, took/d.classRun[r.Class])
 			switch {
 			case e.Took > c.Aim || w.pace > paceOver*d.usualPace():
@@ -686,13 +692,11 @@
 	} else {
 		t.w.busy--
 	}
-	t.w.work = max(0, t.w.work-t.work)
 	t.w.since = d.now
 	r.q.inFlight--
 	r.q.lastExec = d.now
-	if o != OK && o != ConnectFailed && o != Moot && d.share(t.w) < 1 {
-		t.w.linger = slices.DeleteFunc(t.w.linger, func(l debt) bool { return l.until <= d.now })
-		t.w.linger = append(t.w.linger, debt{d.now + d.s.Guarantees.FallWithin, t.work})
+	if o == OK {
+		d.served += t.work
 	}
 }
 
@@ -855,7 +859,7 @@
 			d.order = append(d.order, w)
 		}
 		if i.Started > w.Started && i.Started > w.coldFrom {
-			w.coldFrom = i.Started
+			w.coldFrom, w.credit, w.creditAt, w.served = i.Started, 0, i.Started, d.served
 			w.tokens = min(w.tokens, startTokens)
 		}
 		w.WorkerInfo = i
--- a/choice/state.go
+++ b/choice/state.go
@@ -2,31 +2,35 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
 
 // A Dispatcher decides for one controller. It is not safe for concurrent use.
 type Dispatcher struct {
-	s        Settings
-	now      time.Duration
-	out      []Action
-	workers  map[WorkerID]*worker
-	order    []*worker // by id
-	ring     []point
-	ringAge  int
-	queues   map[FunctionID]*queue
-	active   []*queue // by function, all that are kept
-	requests map[RequestID]*request
-	open     []*request // in order of arrival
-	globalVT float64
-	classRun []float64 // mean run time of a class, seconds
-	meanRun  float64
-	wakeAt   time.Duration
-	crowded  float64         // share of copies believed to stand that had been pushed out
-	paces    []float64       // scratch
-	arrivals []time.Duration // within the load window
-	orders   []time.Duration
+	s         Settings
+	now       time.Duration
+	out       []Action
+	workers   map[WorkerID]*worker
+	order     []*worker // by id
+	ring      []point
+	ringAge   int
+	queues    map[FunctionID]*queue
+	active    []*queue // by function, all that are kept
+	requests  map[RequestID]*request
+	open      []*request // in order of arrival
+	globalVT  float64
+	classRun  []float64 // mean run time of a class, seconds
+	meanRun   float64
+	served    float64 // run time of all that was answered, seconds
+	effective float64 // ready workers, the cold ones by their share
+	rng       *rand.Rand
+	wakeAt    time.Duration
+	crowded   float64         // share of copies believed to stand that had been pushed out
+	paces     []float64       // scratch
+	arrivals  []time.Duration // within the load window
+	orders    []time.Duration
 }
 
 type point struct {
@@ -36,32 +40,27 @@
 
 type worker struct {
 	WorkerInfo
-	tokens   float64
-	out      int     // attempts out
-	busy     int     // of them, those that hold a token
-	loads    int     // of them, those that may wait for a load
-	work     float64 // outstanding, seconds of run time
-	heard    time.Duration
-	since    time.Duration // since when something is out without an answer
-	strikes  int
-	benches  int
-	backAt   time.Duration // off the ring until then, if benched
-	benched  bool
-	asked    time.Duration // when a question went out that has no answer; 0: none
-	pace     float64       // mean of run time over the class's mean; 0: not known
-	pauseTo  time.Duration
-	fulls    int           // refusals in a row
-	loadTo   time.Duration // no load there before
-	denied   int           // loads in a row that it had no room for
-	coldFrom time.Duration // start as told or as seen
-	lastSend time.Duration
-	linger   []debt // work that may still weigh on a cold worker
-	fn       FunctionID
-}
-
-type debt struct {
-	until time.Duration
-	work  float64
+	tokens    float64
+	out       int // attempts out
+	busy      int // of them, those that hold a token
+	loads     int // of them, those that may wait for a load
+	heard     time.Duration
+	since     time.Duration // since when something is out without an answer
+	strikes   int
+	ejections int
+	backAt    time.Duration // off the ring until then, if ejected
+	ejected   bool
+	asked     time.Duration // when a question went out that has no answer; 0: none
+	pace      float64       // mean of run time over the class's mean; 0: not known
+	pauseTo   time.Duration
+	fulls     int           // refusals in a row
+	loadTo    time.Duration // no load there before
+	denied    int           // loads in a row that it had no room for
+	coldFrom  time.Duration // start as told or as seen
+	credit    float64       // seconds of run time that may go to it while it is cold
+	creditAt  time.Duration // when credit was last added
+	served    float64       // Dispatcher.served then
+	fn        FunctionID
 }
 
 type queue struct {
@@ -150,9 +149,9 @@
 	return q
 }
 
-func (d *Dispatcher) benched() (n int) {
+func (d *Dispatcher) ejected() (n int) {
 	for _, w := range d.order {
-		if w.benched {
+		if w.ejected {
 			n++
 		}
 	}
