--- a/choice/choice.go
+++ b/choice/choice.go
@@ -419,7 +419,7 @@
 			home = w
 		}
 	}
-	// A home without a token is waited for, longer where copies turn out pushed out: memory is short then. Not
+	// A home without a token is waited for, longer where copies prove pushed out: memory is short then. Not
 	// where the function crowds it: others will have brought a copy to the next, and an order tells.
 	wait := spillCrowd * d.crowded
 	if !crowd {
@@ -491,7 +491,7 @@
 
 // coldRoom keeps a cold worker from being pushed over by all controllers together, with no word between them.
 // Work sent in a window is what the worker finishes plus what is outstanding: an equal part of (factor-1) x
-// share x one core x window may be. Where that is under one call, each call answered anywhere gives credit for
+// share x one core x window may be. Where that is under a call, each call answered anywhere gives credit for
 // its share of a worker's even part: what is answered cannot pass what the fleet can do, however traffic is
 // spread. Unused credit fades; part of a call is staked on a draw, which keeps the sum on the average.
 func (d *Dispatcher) coldRoom(w *worker, work float64) bool {
