A function's calls spread over as many ring workers as answers show it needs

Now one figure for a function: answers that met more than its lanes and were slow widen it by up to half, others narrow it; a request takes its place among those first workers by hash, so all controllers meet there. It takes the place of the parts (fewer lines). Answers of a cold worker do not count. Should also hold for bursts and lost homes; could harm where memory is short, as spread calls load.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,9 +36,9 @@
 	spillAfter   = 0.25 // wait at a busy home, of the aim, before a further copy is worth its load
 	spillCrowd   = 10.0 // added to it for each share of believed copies that had been pushed out
 	crowdWeight  = 0.02 // of one answer in that share
-	partCut      = 0.7  // of a function's part at a worker, after an answer that met all its lanes taken
-	partRise     = 0.05 // of all its calls, added after an answer that did not
-	partLow      = 0.05 // the least part: enough to see that there is room again
+	spreadRise   = 1.5  // of the workers that serve a function, at most, after an answer that met too many
+	spreadFall   = 0.97 // of them after one that did not
+	partRise     = 0.05 // of a token, or an equal part of one: the least, and the step below one
 	leadPatience = 2.0  // load times that others wait for the request that began a load
 	jitter       = 0.5  // of a time off the ring: controllers that saw the same do not return in step
 	graceTicks   = 2    // ticks kept for our own answer before the deadline
@@ -283,18 +283,26 @@
 	return w.State == Ready && (!w.ejected || 2*d.ejected() > len(d.order))
 }
 
-// takes tells whether a worker takes a request: with less than one token, or crowded by the function, only
-// a part of them, as whole tokens bound nothing where many controllers send little each. A request's place is
-// a hash; as it waits it comes to be taken, and one that failed there goes elsewhere first.
-func (d *Dispatcher) takes(r *request, w *worker, sp *spot) bool {
-	part, place := min(1, w.tokens), float64(mix(uint64(r.Request)^uint64(w.ID))>>11)/(1<<53)
-	if sp != nil {
-		part *= 1 - sp.away
-	}
+// takes tells whether a worker takes a request: with less than one token only a part of them, as whole tokens
+// bound nothing where many controllers send little each. A request's place is a hash; as it waits it comes to
+// be taken. One that failed there is the last to be taken.
+func (d *Dispatcher) takes(r *request, w *worker) bool {
+	place := unit(mix(uint64(r.Request) ^ uint64(w.ID)))
 	if slices.ContainsFunc(r.tries, func(t attempt) bool { return t.w == w }) {
 		place = 1
 	}
-	return place*(1-(d.now-r.at).Seconds()/d.s.Classes[r.Class].Aim.Seconds()) < part
+	return place*(1-(d.now-r.at).Seconds()/d.s.Classes[r.Class].Aim.Seconds()) < min(1, w.tokens)
+}
+
+// crowd follows how many workers a function needs. Its calls meet at home from all controllers, so one called
+// more than a worker can do fills it, whatever each holds out. An answer tells how many it met: where these
+// were more than its lanes and it was slow, the next calls spread over more of the ring; else over fewer.
+func (d *Dispatcher) crowd(q *queue, alike int, lanes float64, slow bool) {
+	if over := float64(alike+1) / max(1, lanes); over > 1 && slow {
+		q.spread = min(q.spread*min(over, spreadRise), float64(len(d.order)))
+	} else if !slow {
+		q.spread = max(1, q.spread*spreadFall)
+	}
 }
 
 // usualPace is the median pace of the workers that answered: a slow answer of one worker among its peers is
@@ -383,8 +391,11 @@
 func (d *Dispatcher) pick(q *queue, r *request) *worker {
 	var home, spare *worker
 	work := d.classRun[r.Class]
-	loading, crowd := false, false
-	for _, w := range d.walk(q) {
+	loading := false
+	ring := d.walk(q)
+	from := min(int(unit(mix(uint64(r.Request)))*q.spread), max(0, len(ring)-1))
+	for i := range ring {
+		w := ring[(from+i)%len(ring)]
 		if !d.ready(w) || !d.maySend(r, w) {
 			continue
 		}
@@ -400,17 +411,16 @@
 		if warm {
 			// Past the lanes of the copies a worker starts another by itself, which pushes others out.
 			lanes := max(1, r.Lanes*float64(max(1, sp.copies)))
-			token := float64(w.busy) < max(1, math.Floor(w.tokens)) && d.takes(r, w, sp)
+			token := float64(w.busy) < max(1, math.Floor(w.tokens)) && d.takes(r, w)
 			if float64(sp.out) < lanes && token && d.coldRoom(w, work) {
 				if home != nil {
 					d.prepare(q, home)
 				}
 				return w
 			}
-			crowd = crowd || sp.away > 0
 		} else if sp != nil && (sp.lead > 0 || sp.ordered > 0) && d.now-sp.since < d.patience(q, r) {
 			loading = true
-		} else if !d.takes(r, w, sp) {
+		} else if !d.takes(r, w) {
 			continue
 		} else if spare == nil && w.loads < ownLoads && d.now >= w.loadTo {
 			spare = w
@@ -419,13 +429,9 @@
 			home = w
 		}
 	}
-	// A home without a token is waited for, longer where copies prove pushed out: memory is short then. Not
-	// where the function crowds it: others will have brought a copy to the next, and an order tells.
-	wait := spillCrowd * d.crowded
-	if !crowd {
-		wait += spillAfter
-	}
-	due := d.now >= r.at+seconds(min(1, wait)*d.s.Classes[r.Class].Aim.Seconds())
+	// A home without a token is waited for, longer where copies prove pushed out: memory is short then.
+	wait := min(1, spillAfter+spillCrowd*d.crowded)
+	due := d.now >= r.at+seconds(wait*d.s.Classes[r.Class].Aim.Seconds())
 	if spare == home && !loading || spare != nil && due && !loading && d.fresh(r) && !d.prepare(q, spare) {
 		return spare
 	}
@@ -614,14 +620,7 @@
 			}
 		}
 		slow := e.Took > c.Aim || took > paceOver*d.usualPace()*d.classRun[r.Class]
-		if d.s.Loading.CountsAlike && slow && float64(e.Alike) >= max(1, r.Lanes) {
-			sp.away = less(sp.away, partCut)
-		} else {
-			sp.away = max(0, sp.away-partRise)
-		}
-		if e.Note == BeganLoad {
-			r.q.load = mean(r.q.load, took)
-		}
+		d.crowd(r.q, e.Alike, r.Lanes, slow && d.share(w) >= 1)
 		if !cold && (e.Note == FoundWarm || !t.load) {
 			r.q.run = mean(r.q.run, took)
 			d.classRun[r.Class] = mean(d.classRun[r.Class], took)
@@ -640,7 +639,8 @@
 		}
 	case Full:
 		d.answered(w, OK)
-		w.tokens, sp.away = max(min(1, w.tokens), w.tokens/2), less(sp.away, 0.5)
+		w.tokens = max(min(1, w.tokens), w.tokens/2)
+		d.crowd(r.q, e.Alike, r.Lanes, d.share(w) >= 1)
 		if t.load {
 			d.deny(w, r.q)
 		}
@@ -899,9 +899,6 @@
 	d.do(Wake{At: at})
 }
 
-// less is the part of calls that go elsewhere once the rest is cut to so much of it.
-func less(away, cut float64) float64 { return 1 - max(partLow, (1-away)*cut) }
-
 func mean(old, sample float64) float64 {
 	if old == 0 {
 		return sample
--- a/choice/state.go
+++ b/choice/state.go
@@ -77,6 +77,7 @@
 	prefAge  int
 	length   int     // requests that compete in this round
 	load     float64 // mean time of an answer that began a load, seconds; 0: not known
+	spread   float64 // workers of the ring that its calls spread over; 1: home alone
 	spots    map[*worker]*spot
 }
 
@@ -88,7 +89,6 @@
 	copies  int           // that stood when last told; 0: not told
 	ordered int           // holds without an answer
 	since   time.Duration // of the last such attempt or order
-	away    float64       // part of the function's calls that go elsewhere, as it crowds the worker
 }
 
 func (q *queue) spot(w *worker) *spot {
@@ -133,13 +133,16 @@
 	return x ^ x>>31
 }
 
+// unit maps a number to [0, 1).
+func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
+
 func (d *Dispatcher) do(a Action) { d.out = append(d.out, a) }
 
 // queue returns the queue of a function, a new one where none is kept.
 func (d *Dispatcher) queue(fn FunctionID) *queue {
 	q := d.queues[fn]
 	if q == nil {
-		q = &queue{fn: fn, hash: mix(uint64(fn)), prefAge: -1, spots: map[*worker]*spot{}}
+		q = &queue{fn: fn, hash: mix(uint64(fn)), prefAge: -1, spread: 1, spots: map[*worker]*spot{}}
 		d.queues[fn] = q
 		byFn := func(q *queue, f FunctionID) int { return cmp.Compare(q.fn, f) }
 		i, _ := slices.BinarySearchFunc(d.active, fn, byFn)
