--- a/choice/choice.go
+++ b/choice/choice.go
@@ -647,6 +647,7 @@
 	case TimedOut:
 		w.tokens = max(step, w.tokens/2)
 		d.answered(w, TimedOut)
+		d.crowd(r.q, int(spreadRise*r.Lanes), r.Lanes, d.share(w) >= 1)
 	default:
 		d.answered(w, e.Outcome)
 	}
