--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,8 +36,8 @@
 	spillAfter   = 0.25 // wait at a busy home, of the aim, before a further copy is worth its load
 	spillCrowd   = 10.0 // added to it for each share of believed copies that had been pushed out
 	crowdWeight  = 0.02 // of one answer in that share
-	spreadRise   = 1.5  // of the workers that serve a function, at most, after an answer that met too many
-	spreadFall   = 0.97 // of them after one that did not
+	spreadRise   = 4.0  // of the workers that serve a function, at most, after an answer that met too many
+	spreadFall   = 0.95 // of them after one that did not
 	partRise     = 0.05 // of a token, or an equal part of one: the least, and the step below one
 	leadPatience = 2.0  // load times that others wait for the request that began a load
 	jitter       = 0.5  // of a time off the ring: controllers that saw the same do not return in step
@@ -647,7 +647,7 @@
 	case TimedOut:
 		w.tokens = max(step, w.tokens/2)
 		d.answered(w, TimedOut)
-		d.crowd(r.q, int(spreadRise*r.Lanes), r.Lanes, d.share(w) >= 1)
+		d.crowd(r.q, int(2*r.Lanes), r.Lanes, d.share(w) >= 1)
 	default:
 		d.answered(w, e.Outcome)
 	}
