--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,7 @@
 	spillCrowd   = 10.0 // added to it for each share of believed copies that had been pushed out
 	crowdWeight  = 0.02 // of one answer in that share
 	spreadRise   = 4.0  // of the workers that serve a function, at most, after an answer that met too many
+	manyLanes    = 4.0  // controllers to a lane of a copy above which tokens of each do not bound the sum
 	spreadFall   = 0.95 // of them after one that did not
 	partRise     = 0.05 // of a token, or an equal part of one: the least, and the step below one
 	leadPatience = 2.0  // load times that others wait for the request that began a load
@@ -297,8 +298,10 @@
 // crowd follows how many workers a function needs. Its calls meet at home from all controllers, so one called
 // more than a worker can do fills it, whatever each holds out. An answer tells how many it met: where these
 // were more than its lanes and it was slow, the next calls spread over more of the ring; else over fewer.
+// Where few controllers share the lanes of a copy, their own tokens do this.
 func (d *Dispatcher) crowd(q *queue, alike int, lanes float64, slow bool) {
-	if over := float64(alike+1) / max(1, lanes); over > 1 && slow {
+	n := float64(d.s.Controllers)
+	if over := float64(alike+1) / max(1, lanes); over > 1 && slow && n > manyLanes*lanes {
 		q.spread = min(q.spread*min(over, spreadRise), float64(len(d.order)))
 	} else if !slow {
 		q.spread = max(1, q.spread*spreadFall)
