--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -373,6 +373,27 @@
 	}
 }
 
+// From buchung-main: with few controllers to a lane their own tokens bound what meets at a home, and spreading a
+// function on top scatters its copies.
+func TestFewControllersDoNotSpread(t *testing.T) {
+	for _, n := range []int{3, 100} {
+		s := base()
+		s.Controllers = n
+		d := start(t, s, ready(1, 2, 3, 4)...)
+		now := time.Second
+		for id := RequestID(1); id <= 5; id++ {
+			now += time.Second
+			for _, a := range pickOut[Send](d.Step(now, []Event{arrival(id, 0, 7)})) {
+				d.Step(now, []Event{Returned{Request: id, Worker: a.Worker, Outcome: OK, Took: 800 * ms, Complete: true,
+					Note: FoundWarm, Alike: 9}})
+			}
+		}
+		if spread := d.queues[7].spread; (spread > 1) != (n == 100) {
+			t.Errorf("%d controllers: the function spreads over %v workers", n, spread)
+		}
+	}
+}
+
 // A keyed request that may have run is not sent again after its window, counted from that send.
 func TestKeyedWindow(t *testing.T) {
 	for _, at := range []time.Duration{2900 * ms, 3100 * ms} { // sent at 1 s, window 2 s
