--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,7 +41,12 @@
 	spreadFall   = 0.95 // of them after one that did not
 	partRise     = 0.05 // of a token, or an equal part of one: the least, and the step below one
 	leadPatience = 2.0  // load times that others wait for the request that began a load
-	jitter       = 0.5  // of a time off the ring: controllers that saw the same do not return in step
+	jitter       = 0.5  // of a time off the ring or to come back: who saw the same does not return in step
+	creditKeep   = 3.0  // windows in which unused credit for a cold worker fades
+	passRise     = 0.02 // of the requests let pass, for one that was answered in time
+	passCut      = 0.95 // of that share, for one that was not: steady where some three in ten are late
+	passRepeat   = 3.0  // power of the share for a client's repeat: served last where few pass
+	passLow      = 0.05 // the least: enough to see that it is over
 	graceTicks   = 2    // ticks kept for our own answer before the deadline
 )
 
@@ -52,7 +57,7 @@
 		return nil, err
 	}
 	d := &Dispatcher{s: s, workers: map[WorkerID]*worker{}, queues: map[FunctionID]*queue{},
-		requests: map[RequestID]*request{}, rng: rand.New(rand.NewPCG(seed, seed))}
+		requests: map[RequestID]*request{}, pass: 1, rng: rand.New(rand.NewPCG(seed, seed))}
 	for _, c := range s.Classes {
 		d.classRun = append(d.classRun, guessRun*c.Aim.Seconds())
 	}
@@ -118,7 +123,10 @@
 			d.again(r)
 		}
 		r.due = false
-		if !r.ended && d.now >= r.final {
+		if d.late(r) {
+			d.judge(r, false)
+		}
+		if !r.ended && (d.now >= r.final || r.waiting && d.hopeless(r)) {
 			d.finish(r)
 		}
 		out := false
@@ -142,10 +150,57 @@
 	d.open = kept
 }
 
-// finish gives our own final answer, and calls off what is still out for nobody.
+// hopeless tells whether a queued request is given up, and so answered at once: it does not pass, is out of
+// time, or no worker may have it any more. A new one waits for the list to name a worker.
+func (d *Dispatcher) hopeless(r *request) bool {
+	if slices.ContainsFunc(r.tries, func(t attempt) bool { return !t.done }) {
+		return false
+	}
+	return d.now+seconds(d.runOf(r.q, r)) >= r.final || !d.passes(r) || len(r.tries) > 0 && !d.mayTry(r)
+}
+
+// passes tells whether a request may be sent at all. Where about a third of what is sent is not answered in
+// time, sending on makes the rest late too, whatever made the first ones late: more calls than the fleet can
+// do, workers lost, cold or slow, a network or a store that stalls. No worker's tokens show it where each
+// controller has few answers of each; all its answers together do. By hash of the request, so that it is told
+// at once and not held; repeats of clients, whose aim has mostly passed, go last. It could hurt where sending
+// less mends nothing: a load is allowed for, an error does not count.
+func (d *Dispatcher) passes(r *request) bool {
+	share := d.pass
+	if r.Retry {
+		share = math.Pow(share, passRepeat)
+	}
+	return len(r.tries) > 0 || unit(mix(^uint64(r.Request))) < share
+}
+
+// judge follows the share let pass, by each request that was sent: once, when it is answered or late.
+func (d *Dispatcher) judge(r *request, inTime bool) {
+	switch {
+	case r.judged || len(r.tries) == 0:
+		return
+	case inTime:
+		d.pass = min(1, d.pass+passRise)
+	default:
+		d.pass = max(passLow, d.pass*passCut)
+	}
+	r.judged = true
+}
+
+// late tells whether a request is past its aim and the load that it may have waited for.
+func (d *Dispatcher) late(r *request) bool {
+	return d.now > r.at+d.s.Classes[r.Class].Aim+r.loading
+}
+
+// finish gives our own final answer, and calls off what is still out for nobody. A refusal says when to come
+// back: the later, the fewer are let pass.
 func (d *Dispatcher) finish(r *request) {
 	if d.mayRefuse(r) {
-		d.do(Refuse{Request: r.Request})
+		a := Refuse{Request: r.Request}
+		if d.s.Limits.RetryAfter && d.pass < 1 {
+			share := (1 - d.pass) * (1 - jitter*d.rng.Float64())
+			a.After = time.Duration(share * float64(d.s.Limits.MaxRetryAfter))
+		}
+		d.do(a)
 	} else {
 		d.do(Fail{Request: r.Request})
 	}
@@ -404,9 +459,14 @@
 		}
 		sp := q.spots[w]
 		warm := d.warm(sp, w)
-		// A cold worker loads as fast as any, but calls that wait for it would fill its small part.
-		if d.share(w) < 1 && !warm && (d.s.Loading.Orders || !d.coldRoom(w, work)) {
-			if home == nil && d.prepare(q, w) {
+		// A cold home is sent what its bound lets pass: others may have had the copy loaded. The rest waits
+		// for a copy ordered there or goes on: waiting for loads of all functions would fill its small part.
+		if d.share(w) < 1 && !warm {
+			switch {
+			case home != nil:
+			case w.loads < ownLoads && d.now >= w.loadTo && d.takes(r, w) && d.coldRoom(w, work):
+				return w
+			case d.prepare(q, w):
 				home, loading = w, true
 			}
 			continue
@@ -421,7 +481,7 @@
 				}
 				return w
 			}
-		} else if sp != nil && (sp.lead > 0 || sp.ordered > 0) && d.now-sp.since < d.patience(q, r) {
+		} else if sp != nil && (sp.lead > 0 || sp.ordered > 0) && d.now-sp.since < d.patience(r) {
 			loading = true
 		} else if !d.takes(r, w) {
 			continue
@@ -442,9 +502,9 @@
 }
 
 // patience is how long the rest of a queue waits for a load under way.
-func (d *Dispatcher) patience(q *queue, r *request) time.Duration {
+func (d *Dispatcher) patience(r *request) time.Duration {
 	guess := guessLoad * d.s.Classes[r.Class].Aim.Seconds()
-	return seconds(leadPatience * cmp.Or(q.load, r.LoadTime.Seconds(), guess))
+	return seconds(leadPatience * cmp.Or(r.LoadTime.Seconds(), guess))
 }
 
 // warm tells whether a copy is believed to stand: one was seen, not longer ago than an idle copy stays, and
@@ -477,6 +537,7 @@
 		w.loads++
 		sp.lead++
 		sp.since = d.now
+		r.loading = cmp.Or(r.LoadTime, seconds(guessLoad*d.s.Classes[r.Class].Aim.Seconds()))
 	} else {
 		w.busy++
 	}
@@ -508,14 +569,14 @@
 	if share >= 1 {
 		return true
 	}
-	window, dt := g.FallWithin.Seconds(), (d.now - max(w.creditAt, w.coldFrom)).Seconds()
+	window, dt := creditKeep*g.FallWithin.Seconds(), (d.now - max(w.creditAt, w.coldFrom)).Seconds()
 	if dt > 0 {
 		gain := max((d.served-w.served)/max(d.effective, 1), dt*coldCores/n)
 		kept := math.Exp(-dt / window)
 		w.credit = w.credit*kept + (1+coldPart*(g.FallFactor-1))*share*gain*window/dt*(1-kept)
 		w.creditAt, w.served = d.now, d.served
 	}
-	free := (g.FallFactor-1)*share*coldCores*window/n - w.work + min(0, w.credit)
+	free := (g.FallFactor-1)*share*coldCores*g.FallWithin.Seconds()/n - w.work + min(0, w.credit)
 	if w.credit >= work || free >= work {
 		w.credit = max(w.credit-work, min(0, w.credit))
 		return true
@@ -608,6 +669,7 @@
 	case OK:
 		d.answered(w, OK)
 		w.strikes = 0
+		d.judge(r, !d.late(r))
 		if e.Note == BeganLoad {
 			w.denied = 0
 		}
@@ -644,8 +706,11 @@
 		d.answered(w, OK)
 		w.tokens = max(min(1, w.tokens), w.tokens/2)
 		d.crowd(r.q, e.Alike, r.Lanes, d.share(w) >= 1)
+		if len(r.tries) >= d.s.Limits.Attempts {
+			d.judge(r, false)
+		}
 		if t.load {
-			d.deny(w, r.q)
+			d.deny(w)
 		}
 	case TimedOut:
 		w.tokens = max(step, w.tokens/2)
@@ -667,7 +732,7 @@
 	switch {
 	case d.mayTry(r) && (!out || r.cover):
 		d.enqueue(r)
-	case !out && !r.waiting:
+	case !out:
 		d.finish(r)
 	}
 }
@@ -801,7 +866,7 @@
 	case e.Copies > 0:
 		sp.seen, sp.copies, w.denied = d.now, e.Copies, 0
 	case e.Outcome == Full || e.Outcome == Error:
-		d.deny(w, q)
+		d.deny(w)
 	case e.Outcome == OK && sp.out == 0:
 		sp.seen = 0
 	}
@@ -809,8 +874,8 @@
 
 // deny keeps further loads from a worker that had no room for one, or failed at it, for a growing time: an
 // order or a send that is turned away at once would otherwise be repeated at once.
-func (d *Dispatcher) deny(w *worker, q *queue) {
-	span := max(q.load, guessLoad*d.s.Classes[0].Aim.Seconds()) * math.Pow(2, float64(w.denied)-1)
+func (d *Dispatcher) deny(w *worker) {
+	span := guessLoad * d.s.Classes[0].Aim.Seconds() * math.Pow(2, float64(w.denied)-1)
 	w.loadTo = d.now + min(seconds(span), d.s.Loading.IdleLife)
 	w.denied = min(w.denied+1, 10)
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -25,6 +25,7 @@
 	served    float64   // run time of all that was answered, seconds
 	effective float64   // ready workers, the cold ones by their share
 	rng       *rand.Rand
+	pass      float64 // share of requests let pass: under 1 where many are late
 	wakeAt    time.Duration
 	crowded   float64         // share of copies believed to stand that had been pushed out
 	paces     []float64       // scratch
@@ -76,7 +77,6 @@
 	pref     []*worker
 	prefAge  int
 	length   int     // requests that compete in this round
-	load     float64 // mean time of an answer that began a load, seconds; 0: not known
 	spread   float64 // workers of the ring that its calls spread over; 1: home alone
 	spots    map[*worker]*spot
 }
@@ -108,8 +108,10 @@
 	tries   []attempt
 	waiting bool
 	ended   bool
-	due     bool // what follows an outcome is decided after the events of the step
-	cover   bool // an attempt is given up on: another may go out beside it
+	due     bool          // what follows an outcome is decided after the events of the step
+	judged  bool          // in the share let pass
+	loading time.Duration // allowed for a load that it may wait for
+	cover   bool          // an attempt is given up on: another may go out beside it
 }
 
 type attempt struct {
