--- a/choice/choice.go
+++ b/choice/choice.go
@@ -13,41 +13,41 @@
 
 // Tuned values. All are ratios of settings or of what is observed, but for the design's own figures.
 const (
-	alpha        = 2.0  // queue TTL in inter-arrival times: keeps a function's home while calls are likely
-	overrun      = 10.0 // T, seconds of run time a queue may lead Global_VT: batches, yet no monopoly
-	startTokens  = 2.0  // D at first: little harm at a worker nobody has measured yet
-	meanWeight   = 0.2  // of a new run time or gap in its mean: follows a change in some five calls
-	meanClip     = 4.0  // a sample counts as at most so many means: one rare long call is not the rule
-	guessRun     = 0.25 // run time before the first answer, of the aim
-	renewAfter   = 0.6  // idle share of the keep-alive before a hold renews a copy (5 s at 8.4 s)
-	ringPoints   = 48   // of an average worker: even arcs, and a lost home's functions go to many others
-	quietRuns    = 3.0  // no answer for so many mean runs: ask the worker whether it lives
-	paceOver     = 1.5  // answers slower than usual by this: the worker has too much in hand, or is slow
-	paceCut      = 0.9  // of the tokens, then; ten such answers weigh more than the halving after a refusal
-	paceLow      = 0.5  // of the last token at the least, for an answer far slower
-	ejectDials   = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
-	ejectCold    = 0.5  // longest time off the ring, of the warm-up time
-	askDials     = 3.0  // dial time-outs that a question may go without an answer
-	strikeOut    = 2    // failures in a row that take a worker off the ring
-	coldPart     = 0.5  // of what a cold worker may be sent beyond its share: calls differ, workers too
-	coldCores    = 1.0  // cores a cold worker is taken to have where little is answered: it is never told
-	ownLoads     = 2    // sends at once to one worker where a load is likely: the store is shared by all
-	guessLoad    = 1.5  // load time before one was seen, of the aim
-	spillAfter   = 0.25 // wait at a busy home, of the aim, before a further copy is worth its load
-	spillCrowd   = 10.0 // added to it for each share of believed copies that had been pushed out
-	crowdWeight  = 0.02 // of one answer in that share
-	spreadRise   = 4.0  // of the workers that serve a function, at most, after an answer that met too many
-	manyLanes    = 4.0  // controllers to a lane of a copy above which tokens of each do not bound the sum
-	spreadFall   = 0.95 // of them after one that did not
-	partRise     = 0.05 // of a token, or an equal part of one: the least, and the step below one
-	leadPatience = 2.0  // load times that others wait for the request that began a load
-	jitter       = 0.5  // of a time off the ring or to come back: who saw the same does not return in step
-	creditKeep   = 3.0  // windows in which unused credit for a cold worker fades
-	passRise     = 0.02 // of the requests let pass, for one that was answered in time
-	passCut      = 0.95 // of that share, for one that was not: steady where some three in ten are late
-	passRepeat   = 3.0  // power of the share for a client's repeat: served last where few pass
-	passLow      = 0.05 // the least: enough to see that it is over
-	graceTicks   = 2    // ticks kept for our own answer before the deadline
+	alpha       = 2.0  // queue TTL in inter-arrival times: keeps a function's home while calls are likely
+	overrun     = 10.0 // T, seconds of run time a queue may lead Global_VT: batches, yet no monopoly
+	startTokens = 2.0  // D at first: little harm at a worker nobody has measured yet
+	meanWeight  = 0.2  // of a new run time or gap in its mean: follows a change in some five calls
+	meanClip    = 4.0  // a sample counts as at most so many means: one rare long call is not the rule
+	guessRun    = 0.25 // run time before the first answer, of the aim
+	renewAfter  = 0.6  // idle share of the keep-alive before a hold renews a copy (5 s at 8.4 s)
+	ringPoints  = 48   // of an average worker: even arcs, and a lost home's functions go to many others
+	quietRuns   = 3.0  // no answer for so many mean runs: ask the worker whether it lives
+	paceOver    = 1.5  // answers slower than usual by this: the worker has too much in hand, or is slow
+	paceCut     = 0.9  // of the tokens, then; ten such answers weigh more than the halving after a refusal
+	paceLow     = 0.5  // of the last token at the least, for an answer far slower
+	ejectDials  = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
+	ejectCold   = 0.5  // longest time off the ring, of the warm-up time
+	askDials    = 3.0  // dial time-outs that a question may go without an answer
+	strikeOut   = 2    // failures in a row that take a worker off the ring
+	coldPart    = 0.5  // of what a cold worker may be sent beyond its share: calls differ, workers too
+	coldCores   = 1.0  // cores a cold worker is taken to have where little is answered: it is never told
+	ownLoads    = 2    // sends at once to one worker where a load is likely: the store is shared by all
+	guessLoad   = 1.5  // load time before one was seen, of the aim
+	spillAfter  = 0.25 // wait at a busy home, of the aim, before a further copy is worth its load
+	spillCrowd  = 10.0 // added to it for each share of believed copies that had been pushed out
+	crowdWeight = 0.02 // of one answer in that share
+	spreadRise  = 4.0  // of the workers that serve a function, at most, after an answer that met too many
+	manyLanes   = 4.0  // controllers to a lane of a copy above which tokens of each do not bound the sum
+	spreadFall  = 0.95 // of them after one that did not
+	partRise    = 0.05 // of a token, or an equal part of one: the least, and the step below one
+	leadLoads   = 2    // load times that others wait for the request that began a load
+	jitter      = 0.5  // of a time off the ring or to come back: who saw the same does not return in step
+	creditKeep  = 3.0  // windows in which unused credit for a cold worker fades
+	passRise    = 0.02 // of the requests let pass, for one that was answered in time
+	passCut     = 0.95 // of that share, for one that was not: steady where some three in ten are late
+	passRepeat  = 3.0  // power of the share for a client's repeat: served last where few pass
+	passLow     = 0.05 // the least: enough to see that it is over
+	graceTicks  = 2    // ticks kept for our own answer before the deadline
 )
 
 // New returns a dispatcher for one controller, or an error that names the field that is wrong. All random
@@ -151,7 +151,7 @@
 }
 
 // hopeless tells whether a queued request is given up, and so answered at once: it does not pass, is out of
-// time, or no worker may have it any more. A new one waits for the list to name a worker.
+// time, or no worker may or will have it any more. A new one waits for the list to name a worker.
 func (d *Dispatcher) hopeless(r *request) bool {
 	if slices.ContainsFunc(r.tries, func(t attempt) bool { return !t.done }) {
 		return false
@@ -159,12 +159,11 @@
 	return d.now+seconds(d.runOf(r.q, r)) >= r.final || !d.passes(r) || len(r.tries) > 0 && !d.mayTry(r)
 }
 
-// passes tells whether a request may be sent at all. Where about a third of what is sent is not answered in
-// time, sending on makes the rest late too, whatever made the first ones late: more calls than the fleet can
-// do, workers lost, cold or slow, a network or a store that stalls. No worker's tokens show it where each
-// controller has few answers of each; all its answers together do. By hash of the request, so that it is told
-// at once and not held; repeats of clients, whose aim has mostly passed, go last. It could hurt where sending
-// less mends nothing: a load is allowed for, an error does not count.
+// passes tells whether a request may be sent at all. Where some three in ten of those sent are late, sending
+// on makes the rest late too, whatever the cause: overload, workers lost, cold or slow, a network or store
+// that stalls. No worker's tokens show it where each controller has few answers of each; all its answers
+// do. By hash of the request, so that it is told at once; repeats of clients, whose aim has mostly passed, go
+// last. It could hurt where sending less mends nothing: a load is allowed for, an error does not count.
 func (d *Dispatcher) passes(r *request) bool {
 	share := d.pass
 	if r.Retry {
@@ -196,9 +195,8 @@
 func (d *Dispatcher) finish(r *request) {
 	if d.mayRefuse(r) {
 		a := Refuse{Request: r.Request}
-		if d.s.Limits.RetryAfter && d.pass < 1 {
-			share := (1 - d.pass) * (1 - jitter*d.rng.Float64())
-			a.After = time.Duration(share * float64(d.s.Limits.MaxRetryAfter))
+		if l := d.s.Limits; l.RetryAfter && d.pass < 1 {
+			a.After = seconds(l.MaxRetryAfter.Seconds() * (1 - d.pass) * (1 - jitter*d.rng.Float64()))
 		}
 		d.do(a)
 	} else {
@@ -438,8 +436,12 @@
 		}
 		if w := d.pick(q, r); w != nil {
 			d.send(r, w)
-			return true
+		} else if r.barred {
+			d.finish(r)
+		} else {
+			continue
 		}
+		return true
 	}
 	return false
 }
@@ -449,16 +451,17 @@
 func (d *Dispatcher) pick(q *queue, r *request) *worker {
 	var home, spare *worker
 	work := d.classRun[r.Class]
-	loading := false
+	loading, chance := false, len(d.order) == 0
 	ring := d.walk(q)
 	from := min(int(unit(mix(uint64(r.Request)))*q.spread), max(0, len(ring)-1))
 	for i := range ring {
 		w := ring[(from+i)%len(ring)]
+		sp := q.spots[w]
+		warm := d.warm(sp, w)
+		chance = chance || warm || w.ejected || home == nil && w.loadTo < r.final
 		if !d.ready(w) || !d.maySend(r, w) {
 			continue
 		}
-		sp := q.spots[w]
-		warm := d.warm(sp, w)
 		// A cold home is sent what its bound lets pass: others may have had the copy loaded. The rest waits
 		// for a copy ordered there or goes on: waiting for loads of all functions would fill its small part.
 		if d.share(w) < 1 && !warm {
@@ -481,7 +484,7 @@
 				}
 				return w
 			}
-		} else if sp != nil && (sp.lead > 0 || sp.ordered > 0) && d.now-sp.since < d.patience(r) {
+		} else if sp != nil && (sp.lead > 0 || sp.ordered > 0) && d.now < sp.since+d.loadTime(r)*leadLoads {
 			loading = true
 		} else if !d.takes(r, w) {
 			continue
@@ -492,6 +495,7 @@
 			home = w
 		}
 	}
+	r.barred = !chance && !loading && !d.fresh(r)
 	// A home without a token is waited for, longer where copies prove pushed out: memory is short then.
 	wait := min(1, spillAfter+spillCrowd*d.crowded)
 	due := d.now >= r.at+seconds(wait*d.s.Classes[r.Class].Aim.Seconds())
@@ -501,10 +505,9 @@
 	return nil
 }
 
-// patience is how long the rest of a queue waits for a load under way.
-func (d *Dispatcher) patience(r *request) time.Duration {
-	guess := guessLoad * d.s.Classes[r.Class].Aim.Seconds()
-	return seconds(leadPatience * cmp.Or(r.LoadTime.Seconds(), guess))
+// loadTime is how long a load for the request is likely to take.
+func (d *Dispatcher) loadTime(r *request) time.Duration {
+	return cmp.Or(r.LoadTime, seconds(guessLoad*d.s.Classes[r.Class].Aim.Seconds()))
 }
 
 // warm tells whether a copy is believed to stand: one was seen, not longer ago than an idle copy stays, and
@@ -537,7 +540,7 @@
 		w.loads++
 		sp.lead++
 		sp.since = d.now
-		r.loading = cmp.Or(r.LoadTime, seconds(guessLoad*d.s.Classes[r.Class].Aim.Seconds()))
+		r.loading = d.loadTime(r)
 	} else {
 		w.busy++
 	}
@@ -673,9 +676,7 @@
 		if e.Note == BeganLoad {
 			w.denied = 0
 		}
-		if !w.ejected {
-			w.ejections = 0
-		}
+		w.ejections = 0
 		sp.seen = d.now
 		cold := e.Note == BeganLoad || e.Note == AwaitedOne
 		if !t.load {
@@ -729,10 +730,9 @@
 // again queues a request for another attempt, waits for one that is out, or answers.
 func (d *Dispatcher) again(r *request) {
 	out := slices.ContainsFunc(r.tries, func(t attempt) bool { return !t.done })
-	switch {
-	case d.mayTry(r) && (!out || r.cover):
+	if d.mayTry(r) && (!out || r.cover) {
 		d.enqueue(r)
-	case !out:
+	} else if !out {
 		d.finish(r)
 	}
 }
--- a/choice/overload_test.go
+++ b/choice/overload_test.go
@@ -186,6 +186,15 @@
 			d.Step(time.Second, []Event{arrival(1, 0, 7)})
 			return d, 3580 * ms, 3600 * ms, nil
 		}, false},
+		{"past its aim, home barred for loads beyond its time", func(t *testing.T) (*Dispatcher, time.Duration,
+			time.Duration, []Event) {
+			d := start(t, base(), ready(1, 2)...)
+			for _, w := range d.order {
+				w.loadTo = 8 * time.Second
+			}
+			d.Step(time.Second, []Event{arrival(1, 0, 7)})
+			return d, 1300 * ms, 1500 * ms, []Event{Timer{}}
+		}, false},
 		{"does not pass", func(t *testing.T) (*Dispatcher, time.Duration, time.Duration, []Event) {
 			d := start(t, base(), ready(1, 2)...)
 			d.pass = 0
--- a/choice/state.go
+++ b/choice/state.go
@@ -109,6 +109,7 @@
 	waiting bool
 	ended   bool
 	due     bool          // what follows an outcome is decided after the events of the step
+	barred  bool          // past its aim, where it goes to home or a copy only: neither is to be had in its time
 	judged  bool          // in the share let pass
 	loading time.Duration // allowed for a load that it may wait for
 	cover   bool          // an attempt is given up on: another may go out beside it
