Nothing is given up for good: an awaited attempt, a wrong mean run time, the share of a quiet controller

From a read of the change: a request queued for a second copy was answered while its first attempt was out (barred home); a mean run time over every patience, and a share lowered at a controller with hardly a call, would have stayed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,12 +46,12 @@
 	passRise    = 0.02 // of the requests let pass, for one that was answered in time
 	passCut     = 0.95 // of that share, for one that was not: steady where some three in ten are late
 	passRepeat  = 3.0  // power of the share for a client's repeat: served last where few pass
+	passForget  = 60.0 // deadlines after which a controller with no answers lets all pass again
 	passLow     = 0.05 // the least: enough to see that it is over
 	graceTicks  = 2    // ticks kept for our own answer before the deadline
 )
 
-// New returns a dispatcher for one controller, or an error that names the field that is wrong. All random
-// draws come from the seed.
+// New returns a dispatcher for one controller, or an error that names the wrong field. It draws by seed alone.
 func New(s Settings, seed uint64) (*Dispatcher, error) {
 	if err := check(&s); err != nil {
 		return nil, err
@@ -66,6 +66,7 @@
 
 // Step takes the events of one tick and returns what to do, in order. Between steps nothing happens.
 func (d *Dispatcher) Step(now time.Duration, events []Event) []Action {
+	d.pass = min(1, d.pass+max(0, now-d.now).Seconds()/(passForget*d.s.Classes[0].Deadline.Seconds()))
 	d.now = max(now, d.now)
 	d.out = nil
 	for _, e := range events {
@@ -150,13 +151,14 @@
 	d.open = kept
 }
 
-// hopeless tells whether a queued request is given up, and so answered at once: it does not pass, is out of
-// time, or no worker may or will have it any more. A new one waits for the list to name a worker.
+// hopeless tells whether a queued request is given up, and answered at once: it does not pass, is out of time
+// (a mean that says so of a new one is lowered, or a wrong one would stay), or no worker may have it again.
 func (d *Dispatcher) hopeless(r *request) bool {
-	if slices.ContainsFunc(r.tries, func(t attempt) bool { return !t.done }) {
-		return false
+	over := r.q.run > 0 && d.now+seconds(r.q.run) >= r.final
+	if over && d.now == r.at {
+		r.q.run = mean(r.q.run, 0)
 	}
-	return d.now+seconds(d.runOf(r.q, r)) >= r.final || !d.passes(r) || len(r.tries) > 0 && !d.mayTry(r)
+	return !r.out() && (over || !d.passes(r) || len(r.tries) > 0 && !d.mayTry(r))
 }
 
 // passes tells whether a request may be sent at all. Where some three in ten of those sent are late, sending
@@ -190,8 +192,7 @@
 	return d.now > r.at+d.s.Classes[r.Class].Aim+r.loading
 }
 
-// finish gives our own final answer, and calls off what is still out for nobody. A refusal says when to come
-// back: the later, the fewer are let pass.
+// finish gives our own final answer and calls off what is out. The fewer pass, the later one may come back.
 func (d *Dispatcher) finish(r *request) {
 	if d.mayRefuse(r) {
 		a := Refuse{Request: r.Request}
@@ -495,7 +496,7 @@
 			home = w
 		}
 	}
-	r.barred = !chance && !loading && !d.fresh(r)
+	r.barred = !chance && !loading && !d.fresh(r) && !r.out()
 	// A home without a token is waited for, longer where copies prove pushed out: memory is short then.
 	wait := min(1, spillAfter+spillCrowd*d.crowded)
 	due := d.now >= r.at+seconds(wait*d.s.Classes[r.Class].Aim.Seconds())
@@ -729,10 +730,9 @@
 
 // again queues a request for another attempt, waits for one that is out, or answers.
 func (d *Dispatcher) again(r *request) {
-	out := slices.ContainsFunc(r.tries, func(t attempt) bool { return !t.done })
-	if d.mayTry(r) && (!out || r.cover) {
+	if d.mayTry(r) && (!r.out() || r.cover) {
 		d.enqueue(r)
-	} else if !out {
+	} else if !r.out() {
 		d.finish(r)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -115,6 +115,11 @@
 	cover   bool          // an attempt is given up on: another may go out beside it
 }
 
+// out tells whether an attempt has no outcome yet.
+func (r *request) out() bool {
+	return slices.ContainsFunc(r.tries, func(t attempt) bool { return !t.done })
+}
+
 type attempt struct {
 	w           *worker
 	group, zone int
