--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,7 +51,7 @@
 	graceTicks  = 2    // ticks kept for our own answer before the deadline
 )
 
-// New returns a dispatcher for one controller, or an error that names the wrong field. It draws by seed alone.
+// New returns a dispatcher for one controller, or an error that names the wrong field. Draws use the seed.
 func New(s Settings, seed uint64) (*Dispatcher, error) {
 	if err := check(&s); err != nil {
 		return nil, err
