--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,6 +42,7 @@
 	partRise    = 0.05 // of a token, or an equal part of one: the least, and the step below one
 	leadLoads   = 2    // load times that others wait for the request that began a load
 	jitter      = 0.5  // of a time off the ring or to come back: who saw the same does not return in step
+	coldDraws   = 4.0  // standard deviations from what a cold worker is sent to its bound
 	creditKeep  = 3.0  // windows in which unused credit for a cold worker fades
 	passRise    = 0.02 // of the requests let pass, for one that was answered in time
 	passCut     = 0.95 // of that share, for one that was not: steady where some three in ten are late
@@ -568,17 +569,27 @@
 // share x one core x window may be. Where that is under a call, each call answered anywhere gives credit for
 // its share of a worker's even part: what is answered cannot pass what the fleet can do, however traffic is
 // spread. Unused credit fades; part of a call is staked on a draw, which keeps the sum on the average.
+// Exception where a window holds few calls: draws then pass it by chance, and one call may by itself. The
+// average is kept coldDraws standard deviations below what it holds, judged by what this controller sees
+// answered; a window of fewer than coldDraws calls gets none.
 func (d *Dispatcher) coldRoom(w *worker, work float64) bool {
 	share, g, n := d.share(w), d.s.Guarantees, float64(d.s.Controllers)
 	if share >= 1 {
 		return true
 	}
-	window, dt := creditKeep*g.FallWithin.Seconds(), (d.now - max(w.creditAt, w.coldFrom)).Seconds()
+	window, dt := creditKeep*g.FallWithin.Seconds(), max(0, (d.now-max(w.creditAt, w.coldFrom)).Seconds())
+	kept, gain := math.Exp(-dt/window), 0.0
 	if dt > 0 {
-		gain := max((d.served-w.served)/max(d.effective, 1), dt*coldCores/n)
-		kept := math.Exp(-dt / window)
-		w.credit = w.credit*kept + (1+coldPart*(g.FallFactor-1))*share*gain*window/dt*(1-kept)
-		w.creditAt, w.served = d.now, d.served
+		gain = max((d.served-w.served)/max(d.effective, 1)/dt, coldCores/n)
+		w.even += (gain - w.even) * (1 - kept)
+	}
+	holds := g.FallFactor * share * w.even * n * g.FallWithin.Seconds() / work // calls in a window, by all
+	mean := math.Pow(math.Sqrt(holds+coldDraws*coldDraws/4)-coldDraws/2, 2) / holds
+	w.credit = w.credit*kept + min(1+coldPart*(g.FallFactor-1), g.FallFactor*mean)*share*gain*window*(1-kept)
+	w.creditAt, w.served = d.now, d.served
+	if holds < coldDraws {
+		w.credit = min(0, w.credit)
+		return false
 	}
 	free := (g.FallFactor-1)*share*coldCores*g.FallWithin.Seconds()/n - w.work + min(0, w.credit)
 	if w.credit >= work || free >= work {
@@ -923,6 +934,7 @@
 		}
 		if i.Started > w.Started && i.Started > w.coldFrom {
 			w.coldFrom, w.credit, w.creditAt, w.served = i.Started, 0, i.Started, d.served
+			w.even = coldCores / float64(d.s.Controllers) // the least: it is not told
 			w.tokens = min(w.tokens, startTokens)
 		}
 		w.WorkerInfo = i
--- /dev/null
+++ b/choice/cold_test.go
@@ -0,0 +1,247 @@
+package choice_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"kitehub/choice"
+	"kitehub/fleet"
+)
+
+const ms = time.Millisecond
+
+// A coldCase is an installation in overload after most of its workers were killed at once.
+type coldCase struct {
+	controllers, workers int
+	rate, share, factor  float64
+	within, coldFor      time.Duration
+	killed               float64
+	work, load           time.Duration
+	burst                float64 // times the rate, once the first copies may stand
+}
+
+// coldPeak plays it in virtual time against the model of workers and returns the most that a cold worker was sent in
+// a window, as a part of what pushes it over, and how many calls cold workers were sent and all were answered.
+func coldPeak(t *testing.T, c coldCase, seed uint64) (peak float64, cold, served int) {
+	t.Helper()
+	const tick, functions = 2 * ms, 24
+	rng := rand.New(rand.NewPCG(seed, 5))
+	cfg := fleet.Config{Window: 4 * time.Second, Store: fleet.Store{Pace: 6, Limit: 30},
+		Cold: fleet.Cold{Share: c.share, For: c.coldFor, FallFactor: 100, FallWithin: c.within}}
+	var list []choice.WorkerInfo
+	for i := range c.workers {
+		cfg.Workers = append(cfg.Workers, fleet.Spec{Name: fmt.Sprint("w", i), Cores: 2, Speed: []float64{1, 0.7}[i%2], MemoryMB: 4000,
+			Queue: 24, LoadSlots: 3, IdleLife: 2 * time.Second, Eager: true})
+		list = append(list, choice.WorkerInfo{ID: choice.WorkerID(i + 1), State: choice.Ready, Group: i / 3})
+	}
+	var fns [functions]fleet.Function
+	weights := make([]float64, functions)
+	for i := range fns {
+		fns[i] = fleet.Function{Name: fmt.Sprint("f", i), MemoryMB: 500, Lanes: 2, Fetch: c.load, Start: 80 * ms}
+		weights[i] = 1 / math.Pow(float64(i+1), 0.9)
+		if i > 0 {
+			weights[i] += weights[i-1]
+		}
+	}
+	s := choice.Settings{Controllers: c.controllers, Tick: tick,
+		Classes: []choice.Class{{Name: "a", Effect: choice.Safe, Aim: 500 * ms, Deadline: 2500 * ms, Worth: 1}},
+		Limits:  choice.Limits{Attempts: 3, Open: 20000, Dial: 250 * ms, Cancel: true},
+		Loading: choice.Loading{Orders: true, LoadsOnMiss: true, OnMissKnown: true, IdleLife: 2 * time.Second, Answer: 5 * time.Second,
+			Window: 5 * time.Second, Free: 10, Ratio: 0.1, WarmNotes: true},
+		Guarantees: choice.Guarantees{DrainGrace: 500 * ms, ColdShare: c.share, ColdFor: c.coldFor, FallFactor: c.factor, FallWithin: c.within}}
+	now := time.Hour
+	f := fleet.New(cfg, now)
+	ds, inbox := make([]*choice.Dispatcher, c.controllers), make([][]choice.Event, c.controllers)
+	for i := range ds {
+		s.Me = i
+		d, err := choice.New(s, seed*1000+uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ds[i] = d
+		inbox[i] = []choice.Event{choice.List{Kind: choice.Cached, Workers: list}}
+	}
+	type call struct {
+		controller int
+		request    choice.RequestID
+		attempt    int
+		worker     int
+		sent       time.Duration
+		hold       int // function and 1 if an order
+	}
+	calls, wakes := map[uint64]call{}, &wakes{}
+	tries, functionOf := map[choice.RequestID]int{}, map[choice.RequestID]int{}
+	sent := make([][]time.Duration, c.workers)
+	next, request, arrive := uint64(1), choice.RequestID(0), now
+	killAt, backAt, end := now+4*time.Second, now+4500*ms, now+4500*ms+c.coldFor
+	for ; now < end; now += tick {
+		for _, e := range f.Advance(now) {
+			k, known := calls[e.ID]
+			if !known {
+				continue
+			}
+			switch e.Kind {
+			case fleet.Answered:
+				o := map[fleet.Outcome]choice.Outcome{fleet.OK: choice.OK, fleet.Full: choice.Full, fleet.Reset: choice.Reset,
+					fleet.Failed: choice.Miss, fleet.Error: choice.Error}[e.Outcome]
+				if o == choice.OK {
+					served++
+				}
+				inbox[k.controller] = append(inbox[k.controller], choice.Returned{Request: k.request, Attempt: k.attempt,
+					Worker: choice.WorkerID(k.worker + 1), Outcome: o, Took: now - k.sent, Note: choice.Note(e.Note), Alike: e.Alike})
+				delete(calls, e.ID)
+			case fleet.Stands:
+				o := choice.OK
+				if e.Outcome != fleet.OK {
+					o = choice.Full
+				}
+				inbox[k.controller] = append(inbox[k.controller], choice.Held{Worker: choice.WorkerID(k.worker + 1),
+					Function: choice.FunctionID(k.hold), Outcome: o, Took: now - k.sent, Copies: e.Copies})
+				delete(calls, e.ID)
+			}
+		}
+		dead := int(c.killed * float64(c.workers))
+		if now == killAt {
+			for w := range dead {
+				f.Kill(w)
+			}
+		}
+		if now == backAt {
+			l := slices.Clone(list[:dead])
+			for w := range l {
+				f.Start(w)
+				l[w].Started = now
+			}
+			for i := range inbox {
+				inbox[i] = append(inbox[i], choice.List{Kind: choice.Delta, Workers: l})
+			}
+		}
+		rate := c.rate
+		if c.burst > 0 && now > backAt+c.load {
+			rate *= c.burst
+		}
+		for ; arrive <= now; arrive += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
+			request++
+			n, _ := slices.BinarySearch(weights, rng.Float64()*weights[functions-1])
+			i := rng.IntN(c.controllers)
+			functionOf[request] = n
+			inbox[i] = append(inbox[i], choice.Arrival{Request: request, Function: choice.FunctionID(n + 1), Expires: 2500 * ms, Lanes: 2,
+				LoadTime: c.load + 80*ms})
+		}
+		for wakes.Len() > 0 && (*wakes)[0].at <= now {
+			k := heap.Pop(wakes).(wake)
+			inbox[k.controller] = append(inbox[k.controller], choice.Timer{Token: k.token})
+		}
+		for i, d := range ds {
+			if len(inbox[i]) == 0 {
+				continue
+			}
+			events := inbox[i]
+			inbox[i] = nil
+			for _, a := range d.Step(now, events) {
+				switch a := a.(type) {
+				case choice.Send:
+					w := int(a.Worker) - 1
+					k := call{controller: i, request: a.Request, attempt: tries[a.Request], worker: w, sent: now}
+					tries[a.Request]++
+					if !f.Up(w) {
+						inbox[i] = append(inbox[i], choice.Returned{Request: a.Request, Attempt: k.attempt, Worker: a.Worker, Outcome: choice.ConnectFailed})
+						continue
+					}
+					if at := f.Started(w); at > 0 && now < at+c.coldFor {
+						cold++
+						sent[w] = append(slices.DeleteFunc(sent[w], func(at time.Duration) bool { return at <= now-c.within }), now)
+						share := c.share + (1-c.share)*float64(now-at)/float64(c.coldFor)
+						can := cfg.Workers[w].Cores * cfg.Workers[w].Speed * share * c.within.Seconds()
+						peak = max(peak, float64(len(sent[w]))*c.work.Seconds()/(c.factor*can))
+					}
+					calls[next] = k
+					f.Call(w, fleet.Call{ID: next, Function: &fns[functionOf[a.Request]], Work: c.work.Seconds() * (0.5 + rng.Float64()), Mean: 0})
+					next++
+				case choice.Hold:
+					w := int(a.Worker) - 1
+					if !f.Up(w) {
+						inbox[i] = append(inbox[i], choice.Held{Worker: a.Worker, Function: a.Function, Outcome: choice.ConnectFailed})
+						continue
+					}
+					calls[next] = call{controller: i, worker: w, sent: now, hold: int(a.Function)}
+					f.Hold(w, next, &fns[a.Function-1], a.Copies)
+					next++
+				case choice.Probe:
+					o := choice.OK
+					if !f.Up(int(a.Worker) - 1) {
+						o = choice.ConnectFailed
+					}
+					inbox[i] = append(inbox[i], choice.Probed{Worker: a.Worker, Outcome: o})
+				case choice.Cancel:
+					for id, k := range calls {
+						if k.hold == 0 && k.request == a.Request && k.attempt == a.Attempt {
+							f.Cancel(k.worker, id)
+							delete(calls, id)
+							inbox[i] = append(inbox[i], choice.Returned{Request: a.Request, Attempt: a.Attempt,
+								Worker: choice.WorkerID(k.worker + 1), Outcome: choice.Cancelled, Took: now - k.sent})
+							break
+						}
+					}
+				case choice.Wake:
+					heap.Push(wakes, wake{a.At, a.Token, i})
+				}
+			}
+		}
+	}
+	return peak, cold, served
+}
+
+// Wakes asked for, in the order of their times.
+type wake struct {
+	at         time.Duration
+	token      uint64
+	controller int
+}
+
+type wakes []wake
+
+func (w wakes) Len() int           { return len(w) }
+func (w wakes) Less(i, j int) bool { return w[i].at < w[j].at }
+func (w wakes) Swap(i, j int)      { w[i], w[j] = w[j], w[i] }
+func (w *wakes) Push(x any)        { *w = append(*w, x.(wake)) }
+func (w *wakes) Pop() any          { l := *w; x := l[len(l)-1]; *w = l[:len(l)-1]; return x }
+
+// Together the controllers keep the bound of a cold worker in overload, also where a window holds few calls or one.
+func TestColdBoundInOverload(t *testing.T) {
+	for _, c := range []coldCase{
+		{controllers: 3, workers: 12, rate: 600, share: 0.05, factor: 1.2, within: 300 * ms, coldFor: 4 * time.Second, killed: 0.6, work: 37 * ms, load: 150 * ms},
+		{controllers: 3, workers: 12, rate: 700, share: 0.1, factor: 1.6, within: 500 * ms, coldFor: 5 * time.Second, killed: 0.75, work: 37 * ms, load: 150 * ms},
+		{controllers: 16, workers: 12, rate: 600, share: 0.1, factor: 1.8, within: 500 * ms, coldFor: 5 * time.Second, killed: 0.75, work: 37 * ms, load: 150 * ms},
+		{controllers: 16, workers: 12, rate: 600, share: 0.2, factor: 2, within: time.Second, coldFor: 5 * time.Second, killed: 0.75, work: 37 * ms, load: 150 * ms},
+		{controllers: 16, workers: 12, rate: 600, share: 0.2, factor: 2, within: 500 * ms, coldFor: 10 * time.Second, killed: 0.75, work: 37 * ms, load: 2 * time.Second},
+		{controllers: 3, workers: 12, rate: 200, share: 0.2, factor: 2, within: 500 * ms, coldFor: 10 * time.Second, killed: 0.3, work: 37 * ms, load: 1 * time.Second, burst: 4},
+		{controllers: 3, workers: 12, rate: 100, share: 0.2, factor: 2, within: 500 * ms, coldFor: 10 * time.Second, killed: 0.3, work: 10 * ms, load: 1 * time.Second, burst: 20},
+	} {
+		t.Run(fmt.Sprintf("%d controllers, bound %v x %v x %v", c.controllers, c.share, c.factor, c.within), func(t *testing.T) {
+			t.Parallel()
+			var most float64
+			var over, sent, served int
+			const seeds = 4
+			for seed := range uint64(seeds) {
+				peak, n, all := coldPeak(t, c, seed+1)
+				most, sent, served = max(most, peak), sent+n, served+all
+				if peak > 1 {
+					over++
+				}
+			}
+			t.Logf("most sent %.2f of the bound; %d calls to cold workers, %d served in all", most, sent, served)
+			if over > 0 {
+				t.Errorf("passed in %d days of %d", over, seeds)
+			}
+			if sent < 20*seeds {
+				t.Errorf("%d calls to cold workers, want them used", sent)
+			}
+		})
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -59,6 +59,7 @@
 	credit    float64       // seconds of run time that may go to it while it is cold
 	creditAt  time.Duration // when credit was last added
 	served    float64       // Dispatcher.served then
+	even      float64       // run time a second that this controller has answered for a worker, while it is cold
 	fn        FunctionID
 }
 
