Registry: leases apart from what is committed, keys, policies, collection

A controller's lease lives as long as the process that gave it: a new process waits a whole one. So no answer waits for the registry's disk. Every command may carry a key; bytes that were condemned are remembered after collection; collection keeps what aliases, moves and running calls name. TestGuarantee now starts the registry's process anew too. After decides what becomes of a call whose alias moved, by its effect and by what may have run.

--- a/registry/move.go
+++ b/registry/move.go
@@ -15,7 +15,7 @@
 			out = append(out, s.watched(m, a, now)...)
 		}
 	}
-	out = append(out, s.fences(now)...)
+	out = append(out, s.fences()...)
 	for _, m := range sorted(s.Models) {
 		for _, v := range sorted(m.Versions) {
 			if v.Phase == Retired && len(v.Copies) > 0 && now >= v.Since+s.Settings.Keep {
@@ -87,6 +87,9 @@
 	if v := m.Versions[old]; v != nil && !s.named(m, old) && v.Phase == Live {
 		v.Phase, v.Since = Retired, now
 	}
+	if v := m.Versions[old]; v != nil {
+		v.Left = s.Epoch
+	}
 	if v := m.Versions[mv.To]; v != nil && v.Phase != Condemned {
 		v.Phase, v.Since, v.Calls, v.Errors = Live, now, 0, 0
 	}
@@ -94,19 +97,10 @@
 	return []Effect{Published{s.Epoch}}
 }
 
-// fences acknowledges the moves that every controller knows of, or can no longer act against.
-func (s *State) fences(now time.Duration) (out []Effect) {
-	least := s.Epoch
-	for _, name := range sortedNames(s.Controllers) {
-		c := s.Controllers[name]
-		if now >= c.Until {
-			delete(s.Controllers, name) // it comes back by asking, and is told all
-			continue
-		}
-		least = min(least, c.Epoch)
-	}
+// fences acknowledges the moves that no controller can act against any more.
+func (s *State) fences() (out []Effect) {
 	s.Fences = slices.DeleteFunc(s.Fences, func(f Fence) bool {
-		if f.Epoch > least {
+		if f.Epoch > s.Confirmed {
 			return false
 		}
 		out = append(out, Acknowledged{f.Move})
@@ -118,13 +112,26 @@
 	return out
 }
 
-func sortedNames(m map[string]*Controller) []string {
-	l := make([]string, 0, len(m))
-	for name := range m {
-		l = append(l, name)
+// Due returns when time alone will change something: a move that takes too long, copies that need not be kept. 0: never.
+func (s *State) Due() (due time.Duration) {
+	note := func(at time.Duration) {
+		if due == 0 || at < due {
+			due = at
+		}
 	}
-	slices.Sort(l)
-	return l
+	for _, m := range s.Models {
+		for _, a := range m.Aliases {
+			if a.Move != nil && !a.Move.Fenced {
+				note(a.Move.Asked + s.Settings.Staging)
+			}
+		}
+		for _, v := range m.Versions {
+			if v.Phase == Retired && len(v.Copies) > 0 {
+				note(v.Since + s.Settings.Keep)
+			}
+		}
+	}
+	return due
 }
 
 // watched moves an alias back where its new version fails clearly more often than the one before did. It acts once a
@@ -148,87 +155,3 @@
 }
 
 func part(v *Version) float64 { return float64(v.Errors) / float64(max(1, v.Calls)) }
-
-// A Name is what a call asks for.
-type Name struct{ Model, Alias string }
-
-// A Target is what an alias named at some time. Two targets with the same version may differ in revision: the alias was
-// moved away and back, and the answer of the earlier time is one of a version that was left.
-type Target struct {
-	Version  string
-	Digest   string
-	Revision uint64
-}
-
-// Told is what the registry tells a controller: all aliases at an epoch.
-type Told struct {
-	Epoch   uint64
-	Targets map[Name]Target
-	Lease   time.Duration
-}
-
-// Tell returns what a controller is to know now.
-func (s *State) Tell() Told {
-	t := Told{Epoch: s.Epoch, Targets: map[Name]Target{}, Lease: s.Settings.Lease}
-	for _, m := range s.Models {
-		for _, a := range m.Aliases {
-			if v := m.Versions[a.Version]; v != nil {
-				t.Targets[Name{m.Name, a.Name}] = Target{v.Name, v.Digest, a.Revision}
-			}
-		}
-	}
-	return t
-}
-
-// A View is what one controller knows of the registry. The zero value knows nothing.
-type View struct {
-	told  Told
-	until time.Duration // by the controller's own clock
-}
-
-// Learn takes in what the registry told. asked is when the controller asked, by its own clock: the lease counts from
-// there, as the registry counts it from when it heard, which is later. An older epoch than the one held is passed over.
-func (v *View) Learn(asked time.Duration, t Told) {
-	if t.Epoch < v.told.Epoch {
-		return
-	}
-	v.until = max(v.until, asked+t.Lease)
-	v.told = t
-}
-
-// Epoch is what to confirm with the next Renew.
-func (v *View) Epoch() uint64 { return v.told.Epoch }
-
-// Verdict says whether something may be done under an alias.
-type Verdict int
-
-const (
-	May     Verdict = iota + 1
-	Left            // the alias has left that target: the answer is not handed out
-	NoLease         // the registry was not heard for too long: the alias may have moved
-	Unknown         // no such alias
-)
-
-// Resolve returns what an alias names now. A call keeps its target to the end.
-func (v *View) Resolve(now time.Duration, n Name) (Target, Verdict) {
-	t, ok := v.told.Targets[n]
-	switch {
-	case now >= v.until:
-		return Target{}, NoLease
-	case !ok:
-		return Target{}, Unknown
-	}
-	return t, May
-}
-
-// MayAnswer tells whether an answer of a target may be handed out at this very moment. stale is the model's own word that
-// an answer without a lease is better than none; an answer known to be left is never handed out.
-func (v *View) MayAnswer(now time.Duration, n Name, t Target, stale bool) Verdict {
-	switch held, ok := v.told.Targets[n]; {
-	case !ok || held != t:
-		return Left
-	case now >= v.until && !stale:
-		return NoLease
-	}
-	return May
-}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -63,6 +63,7 @@
 	Copies   map[string]int // that stand, by worker
 	Calls    int            // watched, since it became live
 	Errors   int
+	Left     uint64 // epoch in which the last alias left it
 }
 
 // An Alias names a version of its model. Revision grows with every move, so that A, B, A are three.
@@ -89,16 +90,11 @@
 // A Model has versions and aliases.
 type Model struct {
 	Name     string
+	Stale    bool // an answer without a lease is better than none
 	Versions map[string]*Version
 	Aliases  map[string]*Alias
 }
 
-// A Controller as the registry knows it.
-type Controller struct {
-	Epoch uint64        // confirmed
-	Until time.Duration // the end of its lease by the registry's clock, drift included
-}
-
 // A Line of the history: who did what, when and why.
 type Line struct {
 	At            time.Duration
@@ -107,15 +103,16 @@
 
 // State is a whole registry.
 type State struct {
-	Settings    Settings
-	Epoch       uint64
-	NextMove    uint64
-	Models      map[string]*Model
-	Controllers map[string]*Controller
-	Fences      []Fence // moves that wait for controllers, oldest first
-	Keys        []KeyResult
-	History     []Line
-	now         time.Duration
+	Settings  Settings `json:"-"`
+	Epoch     uint64
+	NextMove  uint64
+	Models    map[string]*Model
+	Fences    []Fence // moves that wait for controllers, oldest first
+	Confirmed uint64  // epoch that no controller can act against any more
+	Keys      []KeyResult
+	History   []Line
+	Condemned map[string]string // digests, each with why: never collected
+	Now       time.Duration     // of the last command
 }
 
 // A Fence is a move whose alias has changed and whose acknowledgement is open.
@@ -128,10 +125,11 @@
 // A KeyResult is the answer to a command that carried a key: the same command again gets it again.
 type KeyResult struct {
 	Key  string
-	Move uint64
+	Sum  string // of the command's text
+	Move uint64 // that it began; 0: none
 }
 
-// An Effect is one of Stage, Unstage, Published, Acknowledged and GivenUp.
+// An Effect is one of Stage, Unstage, Published, Acknowledged, GivenUp, Began, Again and Collected.
 type Effect interface{ effect() }
 
 // Stage asks for copies of a version to stand: the module orders them by Hold, within its budget and its bounds.
@@ -155,6 +153,18 @@
 	Why  string
 }
 
+// Began says which move a command began, 0 for none; Again, which one the same command began before.
+type (
+	Began struct{ Move uint64 }
+	Again struct{ Move uint64 }
+)
+
+// Collected says that a version is forgotten. Its bytes may be removed if no other version has them.
+type Collected struct{ Model, Version, Digest string }
+
+func (Began) effect()        {}
+func (Again) effect()        {}
+func (Collected) effect()    {}
 func (Stage) effect()        {}
 func (Unstage) effect()      {}
 func (Published) effect()    {}
@@ -164,6 +174,9 @@
 // ErrRevision is a move that names another revision than the alias has: somebody else moved it.
 var ErrRevision = errors.New("the alias has moved since")
 
+// ErrKey is a key that was used for another command.
+var ErrKey = errors.New("key: used for another command")
+
 // New returns an empty registry.
 func New(s Settings) (*State, error) {
 	for _, f := range []struct {
@@ -178,7 +191,7 @@
 	if !(s.Drift >= 0 && s.Drift < 1) {
 		return nil, fmt.Errorf("registry: settings: Drift: %v is not from 0 to 1", s.Drift)
 	}
-	return &State{Settings: s, Models: map[string]*Model{}, Controllers: map[string]*Controller{}}, nil
+	return &State{Settings: s, Models: map[string]*Model{}, Condemned: map[string]string{}}, nil
 }
 
 // A Command changes a State. Its fields are what an operator, a controller or a worker says.
@@ -188,12 +201,12 @@
 
 // Apply carries a command out. On an error nothing has changed. Time never goes back: an earlier now counts as the last.
 func (s *State) Apply(now time.Duration, c Command) ([]Effect, error) {
-	s.now = max(s.now, now)
-	effects, err := c.apply(s, s.now)
+	s.Now = max(s.Now, now)
+	effects, err := c.apply(s, s.Now)
 	if err != nil {
 		return nil, err
 	}
-	return append(effects, s.settle(s.now)...), nil
+	return append(effects, s.settle(s.Now)...), nil
 }
 
 func (s *State) note(now time.Duration, by, what, why string) {
@@ -256,7 +269,7 @@
 	// The same bytes under two names are two versions; bytes that were condemned are condemned under every name.
 	v := p.Version
 	v.Phase, v.Since, v.Copies, v.Calls, v.Errors = Proposed, now, map[string]int{}, 0, 0
-	if s.condemned(v.Digest) {
+	if _, bad := s.Condemned[v.Digest]; bad {
 		return nil, fmt.Errorf("digest: %s is condemned", v.Digest)
 	}
 	s.Models[p.Model] = m
@@ -265,17 +278,6 @@
 	return nil, nil
 }
 
-func (s *State) condemned(digest string) bool {
-	for _, m := range s.Models {
-		for _, v := range m.Versions {
-			if v.Digest == digest && v.Phase == Condemned {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (s *State) version(model, version string) (*Model, *Version, error) {
 	m := s.Models[model]
 	if m == nil {
@@ -293,14 +295,10 @@
 	Model, Alias, To string
 	IfRevision       uint64 // the revision that the alias must have
 	Copies           int
-	Key              string // the same key again gets the same move
 	By, Why          string
 }
 
 func (p Promote) apply(s *State, now time.Duration) ([]Effect, error) {
-	if slices.ContainsFunc(s.Keys, func(k KeyResult) bool { return k.Key == p.Key && p.Key != "" }) {
-		return nil, nil
-	}
 	if err := name("alias", p.Alias); err != nil {
 		return nil, err
 	}
@@ -327,12 +325,6 @@
 	}
 	s.NextMove++
 	a.Move = &Move{ID: s.NextMove, From: a.Version, To: p.To, By: p.By, Why: p.Why, Copies: p.Copies, Asked: now}
-	if p.Key != "" {
-		s.Keys = append(s.Keys, KeyResult{p.Key, s.NextMove})
-		if over := len(s.Keys) - s.Settings.Remembered; over > 0 {
-			s.Keys = slices.Delete(s.Keys, 0, over)
-		}
-	}
 	s.note(now, p.By, fmt.Sprintf("promote %s %s to %s, move %d", p.Model, p.Alias, p.To, s.NextMove), p.Why)
 	if v.Phase == Proposed || v.Phase == Retired {
 		v.Phase, v.Since = Staged, now
@@ -384,8 +376,12 @@
 	if err != nil {
 		return nil, err
 	}
-	s.note(now, c.By, "condemn "+c.Model+" "+c.Version+" "+v.Digest, c.Why)
 	bad, out := v.Digest, []Effect(nil)
+	if _, known := s.Condemned[bad]; !known && len(s.Condemned) >= s.Settings.Models*s.Settings.Versions {
+		return nil, fmt.Errorf("digest: %d are condemned, which is all that are remembered", len(s.Condemned))
+	}
+	s.Condemned[bad] = c.Why
+	s.note(now, c.By, "condemn "+c.Model+" "+c.Version+" "+bad, c.Why)
 	for _, m := range sorted(s.Models) {
 		for _, v := range sorted(m.Versions) {
 			if v.Digest == bad && v.Phase != Condemned {
@@ -444,37 +440,107 @@
 	return nil, nil
 }
 
-// Renew is a controller's word that it acts by an epoch. It begins a new lease; a controller counts it from the moment
-// at which it asked, which is before the registry hears of it.
-type Renew struct {
-	Controller string
-	Epoch      uint64
+// Reached says that no controller can act against an epoch any more: see Leases.Least. Moves that it knows are
+// acknowledged.
+type Reached struct{ Epoch uint64 }
+
+func (c Reached) apply(s *State, _ time.Duration) ([]Effect, error) {
+	if c.Epoch > s.Epoch {
+		return nil, fmt.Errorf("epoch: %d, of which %d is the last", c.Epoch, s.Epoch)
+	}
+	s.Confirmed = max(s.Confirmed, c.Epoch)
+	return nil, nil
 }
 
-func (c Renew) apply(s *State, now time.Duration) ([]Effect, error) {
-	if err := name("controller", c.Controller); err != nil {
-		return nil, err
+// Policy says of a model whether an answer under an alias that may have moved is better than none, while a controller
+// has no lease.
+type Policy struct {
+	Model   string
+	Stale   bool
+	By, Why string
+}
+
+func (c Policy) apply(s *State, now time.Duration) ([]Effect, error) {
+	m := s.Models[c.Model]
+	if m == nil {
+		return nil, fmt.Errorf("model: %q is not known", c.Model)
 	}
-	if c.Epoch > s.Epoch {
-		return nil, fmt.Errorf("epoch: %d, of which %d is the last: this is another registry's", c.Epoch, s.Epoch)
+	if m.Stale == c.Stale {
+		return nil, nil
 	}
-	k := s.Controllers[c.Controller]
-	if k == nil {
-		if len(s.Controllers) >= s.Settings.Asking {
-			return nil, fmt.Errorf("controller: %d have a lease, which is all", len(s.Controllers))
+	m.Stale = c.Stale
+	s.Epoch++ // controllers are to hear of it; no move waits for that
+	s.note(now, c.By, fmt.Sprintf("policy %s stale %v", c.Model, c.Stale), c.Why)
+	return []Effect{Published{s.Epoch}}, nil
+}
+
+// Collect forgets versions that nothing names any more. Except are those that a running call may still name, as
+// controllers tell.
+type Collect struct {
+	Except  []Bytes
+	By, Why string
+}
+
+// Bytes name a version of a model.
+type Bytes struct{ Model, Version string }
+
+func (c Collect) apply(s *State, now time.Duration) ([]Effect, error) {
+	var out []Effect
+	for _, m := range sorted(s.Models) {
+		for _, v := range sorted(m.Versions) {
+			if slices.Contains(c.Except, Bytes{m.Name, v.Name}) || s.holds(m, v, now) {
+				continue
+			}
+			delete(m.Versions, v.Name)
+			s.note(now, c.By, "collect "+m.Name+" "+v.Name+" "+v.Digest, c.Why)
+			out = append(out, Collected{m.Name, v.Name, v.Digest})
 		}
-		k = &Controller{}
-		s.Controllers[c.Controller] = k
 	}
-	// One that started anew may hold less than it once confirmed.
-	k.Epoch = c.Epoch
-	k.Until = now + s.span()
-	return nil, nil
+	return out, nil
+}
+
+// holds tells why a version must stay: an alias names it, or did before, or a move goes to it or has left it and is
+// not acknowledged; or it has not been left for as long as copies are kept. A version that was never used stays until it
+// is condemned: it may be about to be.
+func (s *State) holds(m *Model, v *Version, now time.Duration) bool {
+	for _, a := range m.Aliases {
+		if a.Version == v.Name || a.Before == v.Name || a.Move != nil && (a.Move.To == v.Name || a.Move.From == v.Name) {
+			return true
+		}
+	}
+	return v.Phase != Retired && v.Phase != Condemned || now < v.Since+s.Settings.Keep || v.Left > s.Confirmed
 }
 
-// span is how long the registry waits for a lease to run out by the controller's clock, however slow that runs.
-func (s *State) span() time.Duration {
-	return time.Duration(float64(s.Settings.Lease)*(1+s.Settings.Drift)/(1-s.Settings.Drift)) + 1
+// Keyed is a command with a key: the same again is the first's result again, and something else under the key an error.
+type Keyed struct {
+	Key, Sum string
+	Do       Command
+}
+
+func (c Keyed) apply(s *State, now time.Duration) ([]Effect, error) {
+	if c.Key == "" || len(c.Key) > 128 {
+		return nil, fmt.Errorf("key: %d bytes, want 1 to 128", len(c.Key))
+	}
+	if i := slices.IndexFunc(s.Keys, func(k KeyResult) bool { return k.Key == c.Key }); i >= 0 {
+		if s.Keys[i].Sum != c.Sum {
+			return nil, fmt.Errorf("%w: %q", ErrKey, c.Key)
+		}
+		return []Effect{Again{s.Keys[i].Move}}, nil
+	}
+	last := s.NextMove
+	out, err := c.Do.apply(s, now)
+	if err != nil {
+		return nil, err
+	}
+	k := KeyResult{Key: c.Key, Sum: c.Sum}
+	if s.NextMove > last {
+		k.Move = s.NextMove
+	}
+	s.Keys = append(s.Keys, k)
+	if over := len(s.Keys) - s.Settings.Remembered; over > 0 {
+		s.Keys = slices.Delete(s.Keys, 0, over)
+	}
+	return append([]Effect{Began{k.Move}}, out...), nil
 }
 
 // Tick lets time pass.
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -23,6 +23,43 @@
 
 func push(v, d string) Push { return Push{Model: "m", Version: Version{Name: v, Digest: sha(d)}} }
 
+// A desk is a registry as its process keeps it: a State with its Leases.
+type desk struct {
+	s *State
+	l *Leases
+}
+
+// renew is what a controller says; it is no command.
+type renew struct {
+	Controller string
+	Epoch      uint64
+}
+
+func (renew) apply(*State, time.Duration) ([]Effect, error) { return nil, nil }
+
+func newDesk(s Settings) (*desk, error) {
+	st, err := New(s)
+	return &desk{st, NewLeases(s, 0, true)}, err
+}
+
+// say applies a command and what follows from the leases.
+func (d *desk) say(now time.Duration, c Command) ([]Effect, error) {
+	if r, ok := c.(renew); ok {
+		if err := d.l.Renew(now, r.Controller, r.Epoch, d.s.Epoch, nil); err != nil {
+			return nil, err
+		}
+	}
+	out, err := d.s.Apply(now, c)
+	if err != nil {
+		return nil, err
+	}
+	if least := min(d.l.Least(now), d.s.Epoch); least > d.s.Confirmed {
+		more, err := d.s.Apply(now, Reached{least})
+		return append(out, more...), err
+	}
+	return out, nil
+}
+
 // TestScript reads as a script: what is said at which second, what follows, and what the alias then names.
 func TestScript(t *testing.T) {
 	to := func(v string, rev uint64, copies int) Promote {
@@ -38,15 +75,15 @@
 		"a move waits for copies, then for controllers": {
 			{0, push("v1", "1"), "[]", ""}, {0, push("v2", "2"), "[]", ""},
 			{0, to("v1", 0, 0), "[{1} {1}]", "v1@1"}, // nobody to wait for
-			{1, Renew{"c1", 1}, "[]", "v1@1"}, {1, Renew{"c2", 1}, "[]", "v1@1"},
+			{1, renew{"c1", 1}, "[]", "v1@1"}, {1, renew{"c2", 1}, "[]", "v1@1"},
 			{2, to("v2", 1, 2), "[{m v2 2}]", "v1@1"},
 			{3, Stands{"m", "v2", "w1", 1}, "[]", "v1@1"}, {4, Stands{"m", "v2", "w2", 1}, "[{2}]", "v2@2"},
-			{4, Renew{"c1", 2}, "[]", "v2@2"}, {5, Renew{"c2", 2}, "[{2}]", "v2@2"},
+			{4, renew{"c1", 2}, "[]", "v2@2"}, {5, renew{"c2", 2}, "[{2}]", "v2@2"},
 			{11, Tick{}, "[]", "v2@2"}, {13, Tick{}, "[]", "v2@2"},
 		},
 		"a controller that is not heard holds a move up until its lease is over": {
 			{0, push("v1", "1"), "[]", ""}, {0, push("v2", "2"), "[]", ""}, {0, to("v1", 0, 0), "[{1} {1}]", "v1@1"},
-			{1, Renew{"c1", 1}, "[]", "v1@1"}, {2, to("v2", 1, 0), "[{2}]", "v2@2"}, {6, Tick{}, "[]", "v2@2"}, {7, Tick{}, "[{2}]", "v2@2"},
+			{1, renew{"c1", 1}, "[]", "v1@1"}, {2, to("v2", 1, 0), "[{2}]", "v2@2"}, {6, Tick{}, "[]", "v2@2"}, {7, Tick{}, "[{2}]", "v2@2"},
 		},
 		"copies that never stand": {
 			{0, push("v1", "1"), "[]", ""}, {0, push("v2", "2"), "[]", ""}, {0, to("v1", 0, 0), "[{1} {1}]", "v1@1"},
@@ -59,8 +96,9 @@
 			{3, to("v2", 1, 0), "the alias has moved since: current of m is at revision 3, not 1", "v1@3"},
 		},
 		"the same key again is the same move": {
-			{0, push("v1", "1"), "[]", ""}, {0, Promote{Model: "m", Alias: "current", To: "v1", Key: "k"}, "[{1} {1}]", "v1@1"},
-			{1, Promote{Model: "m", Alias: "current", To: "v1", Key: "k"}, "[]", "v1@1"},
+			{0, push("v1", "1"), "[]", ""}, {0, Keyed{"k", "sum", to("v1", 0, 0)}, "[{1} {1} {1}]", "v1@1"},
+			{1, Keyed{"k", "sum", to("v1", 0, 0)}, "[{1}]", "v1@1"}, {1, Keyed{"k", "other", to("v1", 1, 0)}, `key: used for another command: "k"`, "v1@1"},
+			{1, Keyed{"", "sum", to("v1", 1, 0)}, "key: 0 bytes, want 1 to 128", "v1@1"},
 		},
 		"condemned bytes leave their alias and never come back": {
 			{0, push("v1", "1"), "[]", ""}, {0, to("v1", 0, 0), "[{1} {1}]", "v1@1"}, {0, push("same", "1"), "[]", "v1@1"},
@@ -73,24 +111,35 @@
 			{3, Ended{"m", "v2", 9, 9}, "[]", "v2@2"}, {4, Ended{"m", "v2", 1, 0}, "[{3} {3}]", "v1@3"},
 			{5, Ended{"m", "v1", 100, 100}, "[]", "v1@3"},
 		},
+		"collection keeps what an alias names, did before, or a call still does": {
+			{0, push("v1", "1"), "[]", ""}, {0, push("v2", "2"), "[]", ""}, {0, push("v3", "3"), "[]", ""}, {0, to("v1", 0, 0), "[{1} {1}]", "v1@1"},
+			{1, to("v2", 1, 0), "[{2} {2}]", "v2@2"}, {20, Collect{}, "[]", "v2@2"}, {21, renew{"c1", 2}, "[]", "v2@2"}, {21, to("v3", 2, 0), "[{3}]", "v3@3"},
+			{22, Collect{Except: []Bytes{{"m", "v1"}}}, "[]", "v3@3"}, {22, Collect{}, "[{m v1 " + sha("1") + "}]", "v3@3"},
+			{27, Collect{}, "[{3}]", "v3@3"}, {40, Collect{}, "[]", "v3@3"},
+		},
+		"stale is fine where the model says so": {
+			{0, push("v1", "1"), "[]", ""}, {0, Policy{Model: "m", Stale: true}, "[{1}]", ""}, {0, Policy{Model: "m", Stale: true}, "[]", ""},
+			{0, Policy{Model: "n"}, `model: "n" is not known`, ""},
+		},
 		"bad input": {
 			{0, Push{Model: "a b", Version: Version{Name: "v", Digest: sha("1")}}, `model: "a b" has ' ' at byte 1`, ""},
 			{0, Push{Model: "m", Version: Version{Name: "", Digest: sha("1")}}, "version: 0 bytes, want 1 to 128", ""},
 			{0, Push{Model: "m", Version: Version{Name: "v", Digest: "sha256:12"}}, `digest: "sha256:12" is not sha256: and 64 small hexadecimal digits`, ""},
 			{0, push("v", "A"), `digest: "` + sha("A") + `" is not sha256: and 64 small hexadecimal digits`, ""},
 			{0, push("v", "1"), "[]", ""}, {0, push("v", "2"), "version: v of m is " + sha("1") + " already: a version never changes", ""},
-			{0, to("x", 0, 0), `version: "x" of m is not known`, ""}, {0, Renew{"c", 9}, "epoch: 9, of which 0 is the last: this is another registry's", ""},
+			{0, to("x", 0, 0), `version: "x" of m is not known`, ""}, {0, renew{"c", 9}, "epoch: 9, of which 0 is the last: this is another registry's", ""},
 			{0, Rollback{Model: "m", Alias: "current"}, `alias: "current" of m is not known`, ""},
 		},
 	}
 	for name, steps := range tests {
 		t.Run(name, func(t *testing.T) {
-			s, err := New(settings)
+			d, err := newDesk(settings)
 			if err != nil {
 				t.Fatal(err)
 			}
+			s := d.s
 			for i, st := range steps {
-				effects, err := s.Apply(time.Duration(st.at)*sec, st.say)
+				effects, err := d.say(time.Duration(st.at)*sec, st.say)
 				got := fmt.Sprint(effects)
 				if err != nil {
 					got = err.Error()
@@ -130,10 +179,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		settings := settings
 		settings.Drift = 0.3 // much, so that forgetting it shows
-		s, err := New(settings)
+		d, err := newDesk(settings)
 		if err != nil {
 			t.Fatal(err)
 		}
+		s := d.s
 		var now time.Duration
 		var peers []*peer
 		for i := range 3 {
@@ -160,7 +210,7 @@
 		var asks []ask
 		apply := func(c Command) {
 			before := s.Tell().Targets[name]
-			effects, err := s.Apply(now, c)
+			effects, err := d.say(now, c)
 			if err != nil {
 				return
 			}
@@ -195,7 +245,7 @@
 				if a := &asks[i]; a.told == nil {
 					for j, q := range peers {
 						if q == a.p {
-							apply(Renew{fmt.Sprint("c", j), a.epoch})
+							apply(renew{fmt.Sprint("c", j), a.epoch})
 						}
 					}
 					told := s.Tell()
@@ -218,13 +268,16 @@
 					asks = asks[1:]
 				}
 			case 8:
+				if rapid.IntRange(0, 9).Draw(t, "restart") == 0 { // the registry's process: its leases are gone
+					d.l = NewLeases(settings, now, false)
+				}
 				apply(Promote{Model: "m", Alias: "current", To: rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "to"), IfRevision: uint64(rapid.IntRange(0, 1).Draw(t, "off")) + s.revisionOf(name)})
 			default:
 				apply(Tick{})
 			}
 			for i, p := range peers {
 				for target := range left {
-					if p.view.MayAnswer(p.now(now), name, target, false) == May {
+					if p.view.MayAnswer(p.now(now), name, target) == May {
 						t.Fatalf("at %v controller %d hands out %v, acknowledged as left", now, i, target)
 					}
 				}
@@ -248,7 +301,7 @@
 	n := Name{"model-500", "current"}
 	b.ReportAllocs()
 	for b.Loop() {
-		if t, verdict := v.Resolve(0, n); verdict != May || v.MayAnswer(0, n, t, false) != May {
+		if t, verdict := v.Resolve(0, n); verdict != May || v.MayAnswer(0, n, t) != May {
 			b.Fatal(verdict)
 		}
 	}
--- /dev/null
+++ b/registry/view.go
@@ -0,0 +1,144 @@
+package registry
+
+import (
+	"time"
+
+	"kitehub/choice"
+)
+
+// A Name is what a call asks for.
+type Name struct{ Model, Alias string }
+
+// A Target is what an alias named at some time. Two targets with the same version may differ in revision: the alias was
+// moved away and back, and the answer of the earlier time is one of a version that was left.
+type Target struct {
+	Version  string
+	Digest   string
+	Revision uint64
+}
+
+// Told is what the registry tells a controller: all aliases at an epoch.
+type Told struct {
+	Epoch   uint64
+	Targets map[Name]Target
+	Stale   map[string]bool // models for which an answer without a lease is better than none
+	Lease   time.Duration
+}
+
+// Tell returns what a controller is to know now.
+func (s *State) Tell() Told {
+	t := Told{Epoch: s.Epoch, Targets: map[Name]Target{}, Lease: s.Settings.Lease}
+	for _, m := range s.Models {
+		if m.Stale {
+			if t.Stale == nil {
+				t.Stale = map[string]bool{}
+			}
+			t.Stale[m.Name] = true
+		}
+		for _, a := range m.Aliases {
+			if v := m.Versions[a.Version]; v != nil {
+				t.Targets[Name{m.Name, a.Name}] = Target{v.Name, v.Digest, a.Revision}
+			}
+		}
+	}
+	return t
+}
+
+// A View is what one controller knows of the registry. The zero value knows nothing.
+type View struct {
+	told  Told
+	until time.Duration // by the controller's own clock
+}
+
+// Learn takes in what the registry told. asked is when the controller asked, by its own clock: the lease counts from
+// there, as the registry counts it from when it heard, which is later. An older epoch than the one held is passed over.
+func (v *View) Learn(asked time.Duration, t Told) {
+	if t.Epoch < v.told.Epoch {
+		return
+	}
+	v.until = max(v.until, asked+t.Lease)
+	v.told = t
+}
+
+// Epoch is what to confirm with the next Renew.
+func (v *View) Epoch() uint64 { return v.told.Epoch }
+
+// Verdict says whether something may be done under an alias.
+type Verdict int
+
+const (
+	May     Verdict = iota + 1
+	Left            // the alias has left that target: the answer is not handed out
+	NoLease         // the registry was not heard for too long: the alias may have moved
+	Unknown         // no such alias
+)
+
+// Resolve returns what an alias names now. A call keeps its target to the end.
+func (v *View) Resolve(now time.Duration, n Name) (Target, Verdict) {
+	t, ok := v.told.Targets[n]
+	switch {
+	case now >= v.until && !v.told.Stale[n.Model]:
+		return Target{}, NoLease
+	case !ok:
+		return Target{}, Unknown
+	}
+	return t, May
+}
+
+// Until returns when the lease ends, by the controller's own clock.
+func (v *View) Until() time.Duration { return v.until }
+
+// Stale tells whether a model's answers are better than none while there is no lease.
+func (v *View) Stale(model string) bool { return v.told.Stale[model] }
+
+// MayAnswer tells whether an answer of a target may be handed out at this very moment. An answer known to be left is
+// never handed out, also where stale is fine.
+func (v *View) MayAnswer(now time.Duration, n Name, t Target) Verdict {
+	switch held, ok := v.told.Targets[n]; {
+	case !ok || held != t:
+		return Left
+	case now >= v.until && !v.told.Stale[n.Model]:
+		return NoLease
+	}
+	return May
+}
+
+// A Next is what becomes of a call whose target was left, or may have been.
+type Next int
+
+const (
+	Wait   Next = iota + 1 // an attempt is out: its outcome decides
+	Anew                   // again from the start, under the alias's new target
+	Refuse                 // trying again does no harm
+	Fail                   // it may have run, and must not twice
+)
+
+// mostAnew is how often one call may begin anew: an alias that moves faster than calls run would keep it for ever.
+const mostAnew = 3
+
+// After decides what becomes of a call that its alias has left: a question of its effect and of what may have run.
+//
+// A safe call begins anew at once, and what is out is withdrawn. One that certainly never ran begins anew too. A keyed
+// or unsafe one that may have run is neither repeated nor refused: its key guards it under the version that was left
+// only, and under the new one it would be a second effect. While an attempt of it is out, its outcome is waited for: it
+// may prove that nothing ran.
+func After(e choice.Effect, out, mayHaveRun bool, times int) Next {
+	switch {
+	case e != choice.Safe && out:
+		return Wait
+	case e != choice.Safe && mayHaveRun:
+		return Fail
+	case times >= mostAnew:
+		return Refuse
+	}
+	return Anew
+}
+
+// WithoutLease decides what becomes of a call that may neither go on nor be answered, as the registry was not heard for
+// too long.
+func WithoutLease(e choice.Effect, out, mayHaveRun bool) Next {
+	if n := After(e, out, mayHaveRun, mostAnew); n == Fail || n == Wait {
+		return n
+	}
+	return Refuse
+}
