--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -28,7 +28,7 @@
 	"kitehub/config"
 	"kitehub/controller"
 	"kitehub/discovery"
-	"kitehub/front/webhook"
+	"kitehub/signing"
 	"kitehub/gateway"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
@@ -192,7 +192,7 @@
 type client struct {
 	nc  net.Conn
 	br  *bufio.Reader
-	key *webhook.Key
+	key *signing.Key
 	n   int
 	id  string
 	buf []byte
@@ -206,7 +206,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	k, err := webhook.ParseKey(secret)
+	k, err := signing.ParseKey(secret)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -217,7 +217,7 @@
 
 func (c *client) call(t testing.TB) bool {
 	c.n++
-	m := webhook.Message{ID: c.id + strconv.Itoa(c.n), Stamp: strconv.FormatInt(time.Now().Unix(), 10), Body: callBody}
+	m := signing.Message{ID: c.id + strconv.Itoa(c.n), Stamp: strconv.FormatInt(time.Now().Unix(), 10), Body: callBody}
 	s, err := c.key.Sign(m)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/kitehub/main_test.go
+++ b/cmd/kitehub/main_test.go
@@ -19,10 +19,10 @@
 	"kitehub/choice"
 	"kitehub/discovery"
 	"kitehub/fleet"
-	"kitehub/front/webhook"
 	"kitehub/gateway"
 	"kitehub/internal/clock"
 	"kitehub/internal/trace"
+	"kitehub/signing"
 	"kitehub/standin"
 )
 
@@ -81,11 +81,11 @@
 
 // post sends a signed call. The id names the call.
 func post(addr, id, function, body string) (*http.Response, error) {
-	k, err := webhook.ParseKey(secret)
+	k, err := signing.ParseKey(secret)
 	if err != nil {
 		return nil, err
 	}
-	m := webhook.Message{ID: id, Stamp: strconv.FormatInt(time.Now().Unix(), 10), Body: []byte(body)}
+	m := signing.Message{ID: id, Stamp: strconv.FormatInt(time.Now().Unix(), 10), Body: []byte(body)}
 	s, err := k.Sign(m)
 	if err != nil {
 		return nil, err
--- a/cmd/kitehub/tools.go
+++ b/cmd/kitehub/tools.go
@@ -14,9 +14,9 @@
 
 	"kitehub/config"
 	"kitehub/day"
-	"kitehub/front/webhook"
 	"kitehub/internal/trace"
 	"kitehub/rules"
+	"kitehub/signing"
 )
 
 type demoCmd struct {
@@ -229,7 +229,7 @@
 	if _, err := fmt.Scanln(&common); err != nil {
 		return fmt.Errorf("no secret on standard input: %w", err)
 	}
-	own, err := webhook.Derive(common, k.Endpoint)
+	own, err := signing.Derive(common, k.Endpoint)
 	if err != nil {
 		return err
 	}
--- a/config/build.go
+++ b/config/build.go
@@ -17,6 +17,7 @@
 	"kitehub/gateway"
 	"kitehub/internal/http1"
 	"kitehub/replay"
+	"kitehub/signing"
 )
 
 // A Built is a checked configuration in the forms that the parts of a controller take.
@@ -215,7 +216,7 @@
 				f.Problem(field, "the same key as "+who, "a key names its client: give each its own")
 			}
 			used[text] = field
-			k, err := webhook.ParseKey(text)
+			k, err := signing.ParseKey(text)
 			if err != nil {
 				f.Problem(field, err.Error(), "make a secret with: kitehub key new")
 				return
@@ -232,11 +233,11 @@
 		}
 		for j, text := range cl.CommonKeys {
 			field := fmt.Sprintf("%s.common_keys[%d]", at, j)
-			if _, err := webhook.ParseKey(text); err != nil {
+			if _, err := signing.ParseKey(text); err != nil {
 				f.Problem(field, err.Error(), "make a secret with: kitehub key new")
 				continue
 			}
-			own, err := webhook.Derive(text, c.Name)
+			own, err := signing.Derive(text, c.Name)
 			if err != nil {
 				f.Problem(field, err.Error(), "")
 				continue
@@ -244,7 +245,7 @@
 			add(field, own)
 		}
 		if cl.AnswerKey != "" {
-			k, err := webhook.ParseKey(cl.AnswerKey)
+			k, err := signing.ParseKey(cl.AnswerKey)
 			if err == nil && !strings.HasPrefix(cl.AnswerKey, "whsk_") {
 				err = errors.New("not a whsk_ key")
 			}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -21,11 +21,11 @@
 	"kitehub/config"
 	"kitehub/discovery"
 	"kitehub/fleet"
-	"kitehub/front/webhook"
 	"kitehub/gateway"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
 	"kitehub/internal/trace"
+	"kitehub/signing"
 	"kitehub/standin"
 )
 
@@ -136,8 +136,8 @@
 
 // A message is a signed request that can be sent again byte by byte.
 type message struct {
-	m         webhook.Message
-	key       *webhook.Key
+	m         signing.Message
+	key       *signing.Key
 	signature string
 	path      string
 	extra     http1.Header
@@ -147,15 +147,15 @@
 	t.Helper()
 	if endpoint != "" {
 		var err error
-		if secret, err = webhook.Derive(secret, endpoint); err != nil {
+		if secret, err = signing.Derive(secret, endpoint); err != nil {
 			t.Fatal(err)
 		}
 	}
-	k, err := webhook.ParseKey(secret)
+	k, err := signing.ParseKey(secret)
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := webhook.Message{ID: id, Stamp: strconv.FormatInt(at.Unix(), 10), Body: []byte(body)}
+	m := signing.Message{ID: id, Stamp: strconv.FormatInt(at.Unix(), 10), Body: []byte(body)}
 	s, err := k.Sign(m)
 	if err != nil {
 		t.Fatal(err)
@@ -210,8 +210,8 @@
 		a.outcome = p.Outcome
 	}
 	if s := resp.Header.Get("webhook-signature"); s != "" {
-		sm := webhook.Message{ID: resp.Header.Get("webhook-id"), Stamp: resp.Header.Get("webhook-timestamp"), Body: resp.Body}
-		if sm.ID != webhook.AnswerID(a.outcome, m.m.ID) || !m.key.Verify(sm, s) {
+		sm := signing.Message{ID: resp.Header.Get("webhook-id"), Stamp: resp.Header.Get("webhook-timestamp"), Body: resp.Body}
+		if sm.ID != signing.AnswerID(a.outcome, m.m.ID) || !m.key.Verify(sm, s) {
 			t.Errorf("the signature of answer %v does not verify", a)
 		}
 	} else if resp.Status != 401 && resp.Status != 413 && resp.Status != 405 {
--- a/day/load.go
+++ b/day/load.go
@@ -15,11 +15,11 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"kitehub/front/webhook"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
 	"kitehub/internal/trace"
 	"kitehub/rules"
+	"kitehub/signing"
 )
 
 // A target is a controller as clients see it.
@@ -29,7 +29,7 @@
 	mu   sync.Mutex
 	up   bool
 	idle []*wire
-	keys []*webhook.Key // by tenant
+	keys []*signing.Key // by tenant
 }
 
 type wire struct {
@@ -307,7 +307,7 @@
 	for i := range id {
 		id[i] = byte(rng.Uint32())
 	}
-	m := webhook.Message{ID: fmt.Sprintf("call-%06d", p.n), Stamp: strconv.FormatInt(stamp, 10),
+	m := signing.Message{ID: fmt.Sprintf("call-%06d", p.n), Stamp: strconv.FormatInt(stamp, 10),
 		Body: []byte(fmt.Sprintf(`{"n":%d,"work_ms":%.3f}`, p.n, p.work))}
 	key := t.keys[p.tenant]
 	signature, err := key.Sign(m)
@@ -350,9 +350,9 @@
 		}
 		outcome, after = prob.Outcome, time.Duration(prob.After)*time.Millisecond
 	}
-	signed := webhook.Message{ID: resp.Header.Get("webhook-id"), Stamp: resp.Header.Get("webhook-timestamp"), Body: resp.Body}
+	signed := signing.Message{ID: resp.Header.Get("webhook-id"), Stamp: resp.Header.Get("webhook-timestamp"), Body: resp.Body}
 	unsigned := outcome == "refused" && resp.Close // a controller that stops answers before it verifies
-	if !unsigned && (signed.ID != webhook.AnswerID(outcome, m.ID) || !key.Verify(signed, resp.Header.Get("webhook-signature"))) {
+	if !unsigned && (signed.ID != signing.AnswerID(outcome, m.ID) || !key.Verify(signed, resp.Header.Get("webhook-signature"))) {
 		l.mu.Lock()
 		l.forged++
 		l.mu.Unlock()
--- a/day/play.go
+++ b/day/play.go
@@ -23,12 +23,12 @@
 	"kitehub/controller"
 	"kitehub/discovery"
 	"kitehub/fleet"
-	"kitehub/front/webhook"
 	"kitehub/gateway"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
 	"kitehub/internal/trace"
 	"kitehub/rules"
+	"kitehub/signing"
 	"kitehub/standin"
 )
 
@@ -210,11 +210,11 @@
 	for i := range p.controllers {
 		t := &target{name: controllerName(i)}
 		for _, secret := range p.secrets {
-			own, err := webhook.Derive(secret, t.name)
+			own, err := signing.Derive(secret, t.name)
 			if err != nil {
 				return err
 			}
-			k, err := webhook.ParseKey(own)
+			k, err := signing.ParseKey(own)
 			if err != nil {
 				return err
 			}
--- a/front/webhook/front.go
+++ b/front/webhook/front.go
@@ -33,14 +33,15 @@
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
 	"kitehub/replay"
+	"kitehub/signing"
 )
 
 // A Client is who may call.
 type Client struct {
 	Name   string
 	Tenant int
-	Keys   []*Key // any verifies; several while one is replaced. Answers are signed by the one that verified
-	Sign   *Key   // signs answers where the verifying key cannot (v1a); nil: such answers are not signed
+	Keys   []*signing.Key // any verifies; several while one is replaced. Answers are signed by the one that verified
+	Sign   *signing.Key   // signs answers where the verifying key cannot (v1a); nil: such answers are not signed
 }
 
 // Source says where a call names its function.
@@ -176,7 +177,7 @@
 // A verified message.
 type verified struct {
 	client int
-	sign   *Key
+	sign   *signing.Key
 	id     string
 	stamp  time.Time
 }
@@ -192,20 +193,20 @@
 		return v, "not exactly one webhook-id, webhook-timestamp and webhook-signature"
 	}
 	v.id = h.Get("webhook-id")
-	if v.id == "" || len(v.id) > mostID || strings.ContainsAny(v.id, ". \t") || strings.HasPrefix(v.id, answerPrefix) {
+	if v.id == "" || len(v.id) > mostID || strings.ContainsAny(v.id, ". \t") || strings.HasPrefix(v.id, signing.AnswerPrefix) {
 		return v, "webhook-id is empty, too long, or has a form that is not taken"
 	}
 	stamp := h.Get("webhook-timestamp")
 	var ok bool
-	if v.stamp, ok = parseStamp(stamp); !ok {
+	if v.stamp, ok = signing.ParseStamp(stamp); !ok {
 		return v, "webhook-timestamp is not a time in seconds"
 	}
-	m, signatures := Message{ID: v.id, Stamp: stamp, Body: r.Body}, h.Get("webhook-signature")
+	m, signatures := signing.Message{ID: v.id, Stamp: stamp, Body: r.Body}, h.Get("webhook-signature")
 	for i, c := range *f.clients.Load() {
 		for _, k := range c.Keys {
 			if k.Verify(m, signatures) {
 				v.client, v.sign = i, k
-				if k.macs == nil && k.private == nil {
+				if !k.CanSign() {
 					v.sign = c.Sign
 				}
 				return v, ""
@@ -435,7 +436,7 @@
 	if resp == nil || v.sign == nil {
 		return resp
 	}
-	m := Message{ID: AnswerID(outcomeOf(resp), v.id), Stamp: strconv.FormatInt(f.cfg.Clock.Wall().Unix(), 10), Body: resp.Body}
+	m := signing.Message{ID: signing.AnswerID(outcomeOf(resp), v.id), Stamp: strconv.FormatInt(f.cfg.Clock.Wall().Unix(), 10), Body: resp.Body}
 	s, err := v.sign.Sign(m)
 	if err != nil {
 		return resp
--- a/gateway/path_test.go
+++ b/gateway/path_test.go
@@ -18,6 +18,7 @@
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
 	"kitehub/replay"
+	"kitehub/signing"
 	"kitehub/standin"
 )
 
@@ -53,7 +54,7 @@
 	if err := g.Workers(choice.Whole, 1, []gateway.Worker{{Name: "w1", Network: "tcp", Addr: host.Addr("w1"), State: choice.Ready}}); err != nil {
 		t.Fatal(err)
 	}
-	key, err := webhook.ParseKey("whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw")
+	key, err := signing.ParseKey("whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -66,7 +67,7 @@
 			return nil
 		}, Deadline: func(int) time.Duration { return 2 * time.Second }, Effect: func(int) choice.Effect { return choice.Safe },
 		Replay: replay.Settings{Past: time.Minute, Future: 5 * time.Second, Ahead: 2 * time.Second, Entries: 1000, Bytes: 1 << 20}},
-		[]webhook.Client{{Name: "shop", Keys: []*webhook.Key{key}}})
+		[]webhook.Client{{Name: "shop", Keys: []*signing.Key{key}}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,7 +81,7 @@
 	defer srv.Cut()
 	defer ln.Close()
 	body := `{"nights":3}`
-	m := webhook.Message{ID: "msg_1", Stamp: strconv.FormatInt(time.Now().Unix(), 10), Body: []byte(body)}
+	m := signing.Message{ID: "msg_1", Stamp: strconv.FormatInt(time.Now().Unix(), 10), Body: []byte(body)}
 	sig, err := key.Sign(m)
 	if err != nil {
 		t.Fatal(err)
@@ -102,8 +103,8 @@
 	if resp.StatusCode != 200 || string(got[:n]) != body {
 		t.Fatalf("%d %q", resp.StatusCode, got[:n])
 	}
-	a := webhook.Message{ID: resp.Header.Get("webhook-id"), Stamp: resp.Header.Get("webhook-timestamp"), Body: got[:n]}
-	if a.ID != webhook.AnswerID("served", "msg_1") || !key.Verify(a, resp.Header.Get("webhook-signature")) {
+	a := signing.Message{ID: resp.Header.Get("webhook-id"), Stamp: resp.Header.Get("webhook-timestamp"), Body: got[:n]}
+	if a.ID != signing.AnswerID("served", "msg_1") || !key.Verify(a, resp.Header.Get("webhook-signature")) {
 		t.Errorf("the answer's signature does not verify: %q", a.ID)
 	}
 	if resp := post(); resp.StatusCode != 409 {
--- /dev/null
+++ b/registry/agent/agent.go
@@ -0,0 +1,381 @@
+// Package agent keeps a controller's view of the registry up to date, and stands at the door where answers go out: it
+// confirms an epoch to the registry only once every answer that was let out under an older one has been written.
+//
+// Why the door. A check before the write is not enough: the answer could be written after the registry was told that no
+// old answer can go out any more. So each write has a ticket of the view by which it was allowed; a newer view is
+// confirmed when the tickets of all older ones are back. And a write ends with the lease at the latest.
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kitehub/internal/clock"
+	"kitehub/registry"
+	"kitehub/registry/client"
+	"kitehub/registry/wire"
+)
+
+// Config sets up an Agent.
+type Config struct {
+	Client *client.Client
+	Node   string // the controller's name
+	Clock  clock.Clock
+	Log    zerolog.Logger
+	// Moved is called, on the agent's goroutine, when a new view holds: calls that it leaves are to be looked for.
+	Moved func()
+	// Stage is told the versions of which copies are to stand, again and again until they do.
+	Stage func([]wire.Stage)
+}
+
+// A Ticket is one answer that is being written.
+type Ticket struct{ g *generation }
+
+// A generation is one view. It is never changed; open counts its tickets and its being the current one.
+type generation struct {
+	view registry.View
+	open atomic.Int64
+	idle chan struct{} // closed when open is 0
+}
+
+func (g *generation) take() bool {
+	for {
+		n := g.open.Load()
+		if n == 0 {
+			return false
+		}
+		if g.open.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+func (g *generation) isIdle() bool {
+	select {
+	case <-g.idle:
+		return true
+	default:
+		return false
+	}
+}
+
+func (g *generation) release() {
+	if g.open.Add(-1) == 0 {
+		close(g.idle)
+	}
+}
+
+// An Agent is safe for concurrent use.
+type Agent struct {
+	cfg  Config
+	now  atomic.Pointer[generation]
+	stop chan struct{}
+	wg   sync.WaitGroup
+	// Lost counts times at which no answer of the registry came in a lease's time, Nacks answers that were not taken.
+	Lost, Nacks atomic.Int64
+
+	mu     sync.Mutex
+	uses   map[registry.Bytes]int
+	ended  map[registry.Bytes]wire.Ended
+	staged []wire.Stage
+	stands map[stand]int // told by answers; those that are staged go to the registry
+}
+
+type stand struct{ model, version, worker string }
+
+func newGeneration(v registry.View) *generation {
+	g := &generation{view: v, idle: make(chan struct{})}
+	g.open.Store(1)
+	return g
+}
+
+// Start begins to ask. Until the first answer nothing resolves.
+func Start(cfg Config) *Agent {
+	a := &Agent{cfg: cfg, stop: make(chan struct{}), uses: map[registry.Bytes]int{}, ended: map[registry.Bytes]wire.Ended{}, stands: map[stand]int{}}
+	a.now.Store(newGeneration(registry.View{}))
+	a.wg.Add(1)
+	go a.run()
+	return a
+}
+
+// Stop ends the asking. The view holds until its lease ends.
+func (a *Agent) Stop() {
+	close(a.stop)
+	a.cfg.Client.Close()
+	a.wg.Wait()
+}
+
+// Resolve returns what an alias names now. It costs one look-up.
+func (a *Agent) Resolve(n registry.Name) (registry.Target, registry.Verdict) {
+	return a.now.Load().view.Resolve(a.cfg.Clock.Now(), n)
+}
+
+// MayAnswer tells whether an answer might go out now. Begin decides.
+func (a *Agent) MayAnswer(n registry.Name, t registry.Target) registry.Verdict {
+	return a.now.Load().view.MayAnswer(a.cfg.Clock.Now(), n, t)
+}
+
+// Begin asks for an answer of a target to be let out. Where the verdict is May, its bytes may be written until the time
+// returned (0: no bound), and End is to be called then.
+func (a *Agent) Begin(n registry.Name, t registry.Target) (Ticket, time.Duration, registry.Verdict) {
+	for {
+		g := a.now.Load()
+		if !g.take() {
+			continue // a newer one is there
+		}
+		v := g.view.MayAnswer(a.cfg.Clock.Now(), n, t)
+		if v != registry.May {
+			g.release()
+			return Ticket{}, 0, v
+		}
+		until := g.view.Until()
+		if g.view.Stale(n.Model) {
+			until = 0
+		}
+		return Ticket{g}, until, v
+	}
+}
+
+// End says that an answer's bytes are written, or never will be.
+func (a *Agent) End(t Ticket) { t.g.release() }
+
+// Use and Unuse count the running calls of a version, so that the registry does not collect it.
+func (a *Agent) Use(b registry.Bytes) {
+	a.mu.Lock()
+	a.uses[b]++
+	a.mu.Unlock()
+}
+
+// Unuse takes one back; ran and failed say whether the call was answered by a worker, and in an error.
+func (a *Agent) Unuse(b registry.Bytes, ran, failed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.uses[b]--; a.uses[b] <= 0 {
+		delete(a.uses, b)
+	}
+	if ran {
+		e := a.ended[b]
+		e.Model, e.Version, e.Calls = b.Model, b.Version, e.Calls+1
+		if failed {
+			e.Errors++
+		}
+		a.ended[b] = e
+	}
+}
+
+// Stands notes what a worker told of its copies of a version.
+func (a *Agent) Stands(b registry.Bytes, worker string, copies int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if slices.ContainsFunc(a.staged, func(s wire.Stage) bool { return s.Model == b.Model && s.Version == b.Version }) {
+		a.stands[stand{b.Model, b.Version, worker}] = copies
+	}
+}
+
+// Times of the asking, as parts of a lease, and before one is known.
+const (
+	renewPart = 4               // a lease is renewed so often in its time while an older view's writes are waited for
+	firstWait = 5 * time.Second // longest wait for an answer while no lease is known
+	leastWait = 20 * time.Millisecond
+	mostWait  = time.Second
+)
+
+func (a *Agent) run() {
+	defer a.wg.Done()
+	confirmed, nonce, failures := uint64(0), "", 0
+	var nack *wire.ErrorDetail
+	lease := firstWait
+	var older []*generation // views whose writes may go on
+	for {
+		select {
+		case <-a.stop:
+			return
+		default:
+		}
+		asked := a.cfg.Clock.Now()
+		q := a.question(confirmed, nonce, nack)
+		resp, fresh, err := a.ask(q, lease)
+		if err == nil && fresh && nonce != "" { // the connection is new: the answer may be another process's, so ask for all
+			nonce = ""
+			continue
+		}
+		var told registry.Told
+		if err == nil {
+			told, err = read(resp)
+			if err != nil { // not taken: say so
+				a.Nacks.Add(1)
+				nack, nonce = &wire.ErrorDetail{Code: 3, Message: err.Error()}, ""
+				a.cfg.Log.Warn().Err(err).Msg("registry's answer not taken: what was known stays until the lease ends")
+				a.sleep(leastWait << min(failures, 5))
+				failures++
+				continue
+			}
+		}
+		if err != nil {
+			failures++
+			if a.cfg.Clock.Now() >= a.now.Load().view.Until() {
+				a.Lost.Add(1)
+			}
+			wait := min(mostWait, leastWait<<min(failures, 10), lease/renewPart)
+			wait += time.Duration(rand.Float64() * float64(wait))
+			a.cfg.Log.Warn().Err(err).Int("failures", failures).Msg("registry not heard")
+			nonce = ""
+			a.keepUnsent(q)
+			a.sleep(wait)
+			continue
+		}
+		failures, nack, lease = 0, nil, told.Lease
+		old := a.now.Load()
+		next := old.view
+		if !next.Learn(asked, told) {
+			nonce = ""
+			a.sleep(leastWait)
+			continue
+		}
+		nonce = resp.Nonce
+		g := newGeneration(next)
+		a.now.Store(g)
+		old.release()
+		older = append(older, old)
+		if next.Epoch() != old.view.Epoch() && a.cfg.Moved != nil {
+			a.cfg.Moved()
+		}
+		a.stage(resp.Stage)
+		// Writes under views of older epochs may go on. The lease is renewed meanwhile, under the epoch that they are of.
+		var timer *time.Timer
+		for confirmed < next.Epoch() {
+			older = slices.DeleteFunc(older, (*generation).isIdle)
+			i := slices.IndexFunc(older, func(o *generation) bool { return o.view.Epoch() < next.Epoch() })
+			if i < 0 {
+				confirmed = next.Epoch()
+				break
+			}
+			if timer == nil {
+				timer = time.NewTimer(lease / renewPart)
+			}
+			late := false
+			select {
+			case <-older[i].idle:
+			case <-timer.C:
+				late = true
+			case <-a.stop:
+				late = true
+			}
+			if late {
+				break
+			}
+		}
+		if timer != nil {
+			timer.Stop()
+		}
+		older = slices.DeleteFunc(older, (*generation).isIdle)
+	}
+}
+
+func (a *Agent) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-a.stop:
+	}
+}
+
+func (a *Agent) question(confirmed uint64, nonce string, nack *wire.ErrorDetail) *wire.Request {
+	q := &wire.Request{VersionInfo: strconv.FormatUint(confirmed, 10), Node: wire.Node{ID: a.cfg.Node}, TypeURL: wire.TypeAlias,
+		ResponseNonce: nonce, ErrorDetail: nack}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for b := range a.uses {
+		q.Uses = append(q.Uses, b)
+	}
+	for _, e := range a.ended {
+		q.Ended = append(q.Ended, e)
+	}
+	for s, n := range a.stands {
+		q.Stands = append(q.Stands, wire.Stands{Model: s.model, Version: s.version, Worker: s.worker, Copies: n})
+	}
+	clear(a.ended)
+	clear(a.stands)
+	q.Staging = a.staged
+	return q
+}
+
+// keepUnsent takes back what a question that failed would have told. It may have been heard: counts can be doubled so,
+// which costs a judgement of errors a little, never a rule.
+func (a *Agent) keepUnsent(q *wire.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, e := range q.Ended {
+		b := registry.Bytes{Model: e.Model, Version: e.Version}
+		have := a.ended[b]
+		e.Calls, e.Errors = e.Calls+have.Calls, e.Errors+have.Errors
+		a.ended[b] = e
+	}
+	for _, s := range q.Stands {
+		k := stand{s.Model, s.Version, s.Worker}
+		if _, newer := a.stands[k]; !newer {
+			a.stands[k] = s.Copies
+		}
+	}
+}
+
+func (a *Agent) ask(q *wire.Request, within time.Duration) (*wire.Response, bool, error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return nil, false, err
+	}
+	text, fresh, err := a.cfg.Client.Do(wire.DiscoveryPath, client.ID("poll"), nil, body, within)
+	if err != nil {
+		return nil, fresh, err
+	}
+	var r wire.Response
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, fresh, fmt.Errorf("not a discovery response: %w", err)
+	}
+	return &r, fresh, nil
+}
+
+// read checks a response. An error is one of its content: it is not to be asked again as if it were lost.
+func read(r *wire.Response) (registry.Told, error) {
+	t := registry.Told{Since: r.Since, Targets: map[registry.Name]registry.Target{}, Lease: time.Duration(r.LeaseMS * float64(time.Millisecond))}
+	var err error
+	if t.Epoch, err = strconv.ParseUint(r.VersionInfo, 10, 64); err != nil {
+		return t, fmt.Errorf("version_info: %q is no epoch", r.VersionInfo)
+	}
+	if r.TypeURL != wire.TypeAlias || t.Lease <= 0 {
+		return t, errors.New("not a response about aliases with a lease")
+	}
+	for i, x := range r.Resources {
+		n := registry.Name{Model: x.Model, Alias: x.Alias}
+		if _, twice := t.Targets[n]; twice || x.Type != wire.TypeAlias || x.Model == "" || x.Alias == "" || x.Revision == 0 {
+			return t, fmt.Errorf("resources[%d]: %s of %s: twice, or not an alias", i, x.Alias, x.Model)
+		}
+		t.Targets[n] = registry.Target{Version: x.Version, Digest: x.Digest, Revision: x.Revision}
+	}
+	for _, m := range r.Stale {
+		if t.Stale == nil {
+			t.Stale = map[string]bool{}
+		}
+		t.Stale[m] = true
+	}
+	return t, nil
+}
+
+func (a *Agent) stage(l []wire.Stage) {
+	a.mu.Lock()
+	a.staged = l
+	a.mu.Unlock()
+	if len(l) > 0 && a.cfg.Stage != nil {
+		a.cfg.Stage(l)
+	}
+}
--- a/registry/move.go
+++ b/registry/move.go
@@ -80,7 +80,7 @@
 	s.Epoch++
 	mv.Fenced, mv.Epoch = true, s.Epoch
 	old := a.Version
-	a.Version, a.Revision = mv.To, a.Revision+1
+	a.Version, a.Revision, a.Epoch = mv.To, a.Revision+1, s.Epoch
 	if old != "" && old != mv.To {
 		a.Before = old
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -72,6 +72,7 @@
 	Version  string // "": none may be used
 	Revision uint64
 	Before   string // the version before, for a move back; "" for none
+	Epoch    uint64 // in which it last changed
 	Move     *Move  // under way
 }
 
@@ -95,6 +96,13 @@
 	Aliases  map[string]*Alias
 }
 
+// A MoveEnd is how a move ended.
+type MoveEnd struct {
+	Move         uint64
+	Acknowledged bool
+	Why          string // it was given up
+}
+
 // A Line of the history: who did what, when and why.
 type Line struct {
 	At            time.Duration
@@ -112,6 +120,7 @@
 	Keys      []KeyResult
 	History   []Line
 	Condemned map[string]string // digests, each with why: never collected
+	Moves     []MoveEnd         // that have ended, oldest first
 	Now       time.Duration     // of the last command
 }
 
@@ -206,7 +215,44 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(effects, s.settle(s.Now)...), nil
+	effects = append(effects, s.settle(s.Now)...)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Acknowledged:
+			s.Moves = append(s.Moves, MoveEnd{Move: e.Move, Acknowledged: true})
+		case GivenUp:
+			s.Moves = append(s.Moves, MoveEnd{Move: e.Move, Why: e.Why})
+		}
+	}
+	if over := len(s.Moves) - s.Settings.Remembered; over > 0 {
+		s.Moves = slices.Delete(s.Moves, 0, over)
+	}
+	return effects, nil
+}
+
+// Status returns how far a move is: staging, fenced, acknowledged, given up (with why), or forgotten.
+func (s *State) Status(move uint64) (status, why string) {
+	for _, e := range s.Moves {
+		if e.Move == move {
+			if e.Acknowledged {
+				return "acknowledged", ""
+			}
+			return "given up", e.Why
+		}
+	}
+	for _, f := range s.Fences {
+		if f.Move == move {
+			return "fenced", ""
+		}
+	}
+	for _, m := range s.Models {
+		for _, a := range m.Aliases {
+			if a.Move != nil && a.Move.ID == move {
+				return "staging", ""
+			}
+		}
+	}
+	return "forgotten", ""
 }
 
 func (s *State) note(now time.Duration, by, what, why string) {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -209,13 +209,13 @@
 		}
 		var asks []ask
 		apply := func(c Command) {
-			before := s.Tell().Targets[name]
+			before := s.Tell(0).Targets[name]
 			effects, err := d.say(now, c)
 			if err != nil {
 				return
 			}
-			after := s.Tell().Targets[name]
-			if before != after && before != (Target{}) {
+			after := s.Tell(0).Targets[name]
+			if before != after && before.Version != "" {
 				moving[s.NextMove] = append(moving[s.NextMove], before)
 			}
 			for _, e := range effects {
@@ -248,7 +248,7 @@
 							apply(renew{fmt.Sprint("c", j), a.epoch})
 						}
 					}
-					told := s.Tell()
+					told := s.Tell(a.epoch)
 					a.told = &told
 				} else {
 					a.p.view.Learn(a.asked, *a.told)
--- /dev/null
+++ b/registry/service/codec.go
@@ -0,0 +1,99 @@
+package service
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"kitehub/registry"
+)
+
+// A record is one line of the log: a command with the time at which it was applied. One command is set.
+type record struct {
+	At       time.Duration      `json:"at"`
+	Key      string             `json:"key,omitempty"`
+	Sum      string             `json:"sum,omitempty"`
+	Push     *registry.Push     `json:"push,omitempty"`
+	Promote  *registry.Promote  `json:"promote,omitempty"`
+	Rollback *registry.Rollback `json:"rollback,omitempty"`
+	Condemn  *registry.Condemn  `json:"condemn,omitempty"`
+	Policy   *registry.Policy   `json:"policy,omitempty"`
+	Collect  *registry.Collect  `json:"collect,omitempty"`
+	Stands   *registry.Stands   `json:"stands,omitempty"`
+	Ended    *registry.Ended    `json:"ended,omitempty"`
+	Reached  *registry.Reached  `json:"reached,omitempty"`
+	Tick     *registry.Tick     `json:"tick,omitempty"`
+}
+
+// command returns the one command of a record.
+func (r *record) command() (registry.Command, error) {
+	var c registry.Command
+	n := 0
+	set := func(is bool, v func() registry.Command) {
+		if is {
+			n++
+			c = v()
+		}
+	}
+	set(r.Push != nil, func() registry.Command { return *r.Push })
+	set(r.Promote != nil, func() registry.Command { return *r.Promote })
+	set(r.Rollback != nil, func() registry.Command { return *r.Rollback })
+	set(r.Condemn != nil, func() registry.Command { return *r.Condemn })
+	set(r.Policy != nil, func() registry.Command { return *r.Policy })
+	set(r.Collect != nil, func() registry.Command { return *r.Collect })
+	set(r.Stands != nil, func() registry.Command { return *r.Stands })
+	set(r.Ended != nil, func() registry.Command { return *r.Ended })
+	set(r.Reached != nil, func() registry.Command { return *r.Reached })
+	set(r.Tick != nil, func() registry.Command { return *r.Tick })
+	if n != 1 {
+		return nil, fmt.Errorf("command: %d are set, want one of push, promote, rollback, condemn, policy, collect", n)
+	}
+	if r.Key != "" {
+		c = registry.Keyed{Key: r.Key, Sum: r.Sum, Do: c}
+	}
+	return c, nil
+}
+
+func (r *record) set(c registry.Command) {
+	switch c := c.(type) {
+	case registry.Keyed:
+		r.Key, r.Sum = c.Key, c.Sum
+		r.set(c.Do)
+	case registry.Push:
+		r.Push = &c
+	case registry.Promote:
+		r.Promote = &c
+	case registry.Rollback:
+		r.Rollback = &c
+	case registry.Condemn:
+		r.Condemn = &c
+	case registry.Policy:
+		r.Policy = &c
+	case registry.Collect:
+		r.Collect = &c
+	case registry.Stands:
+		r.Stands = &c
+	case registry.Ended:
+		r.Ended = &c
+	case registry.Reached:
+		r.Reached = &c
+	case registry.Tick:
+		r.Tick = &c
+	}
+}
+
+// strict reads one JSON value and nothing else; a field that is not known is an error, as a misspelt condition would
+// otherwise be no condition.
+func strict(text []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return fmt.Errorf("more behind the value, at byte %d", d.InputOffset())
+	}
+	return nil
+}
--- a/registry/view.go
+++ b/registry/view.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"maps"
 	"time"
 
 	"kitehub/choice"
@@ -17,17 +18,22 @@
 	Revision uint64
 }
 
-// Told is what the registry tells a controller: all aliases at an epoch.
+// Told is what the registry tells a controller: all aliases at an epoch, or those that changed since another.
 type Told struct {
 	Epoch   uint64
+	Since   uint64 // 0: all are told, and what is not told is no alias
 	Targets map[Name]Target
-	Stale   map[string]bool // models for which an answer without a lease is better than none
+	Stale   map[string]bool // all models for which an answer without a lease is better than none
 	Lease   time.Duration
 }
 
-// Tell returns what a controller is to know now.
-func (s *State) Tell() Told {
-	t := Told{Epoch: s.Epoch, Targets: map[Name]Target{}, Lease: s.Settings.Lease}
+// Tell returns what a controller is to know now that holds an epoch; 0: nothing. An alias that names no version is told
+// as an empty target.
+func (s *State) Tell(since uint64) Told {
+	if since > s.Epoch {
+		since = 0
+	}
+	t := Told{Epoch: s.Epoch, Since: since, Targets: map[Name]Target{}, Lease: s.Settings.Lease}
 	for _, m := range s.Models {
 		if m.Stale {
 			if t.Stale == nil {
@@ -36,9 +42,14 @@
 			t.Stale[m.Name] = true
 		}
 		for _, a := range m.Aliases {
+			if a.Revision == 0 || a.Epoch <= since && since > 0 {
+				continue
+			}
+			target := Target{Revision: a.Revision}
 			if v := m.Versions[a.Version]; v != nil {
-				t.Targets[Name{m.Name, a.Name}] = Target{v.Name, v.Digest, a.Revision}
+				target.Version, target.Digest = v.Name, v.Digest
 			}
+			t.Targets[Name{m.Name, a.Name}] = target
 		}
 	}
 	return t
@@ -50,14 +61,25 @@
 	until time.Duration // by the controller's own clock
 }
 
-// Learn takes in what the registry told. asked is when the controller asked, by its own clock: the lease counts from
-// there, as the registry counts it from when it heard, which is later. An older epoch than the one held is passed over.
-func (v *View) Learn(asked time.Duration, t Told) {
-	if t.Epoch < v.told.Epoch {
-		return
+// Learn takes in what the registry told and tells whether it fits. asked is when the controller asked, by its own clock:
+// the lease counts from there, as the registry counts it from when it heard, which is later. An older epoch than the one
+// held is passed over; so are changes since a newer one: all is to be asked for then.
+func (v *View) Learn(asked time.Duration, t Told) bool {
+	if t.Epoch < v.told.Epoch || t.Since > v.told.Epoch {
+		return false
+	}
+	if t.Since > 0 {
+		all := v.told.Targets
+		if len(t.Targets) > 0 { // changes since an older epoch hold those since the one held
+			all = maps.Clone(all)
+			maps.Copy(all, t.Targets)
+		}
+		t.Targets = all
 	}
+	t.Since = 0
 	v.until = max(v.until, asked+t.Lease)
 	v.told = t
+	return true
 }
 
 // Epoch is what to confirm with the next Renew.
@@ -79,7 +101,7 @@
 	switch {
 	case now >= v.until && !v.told.Stale[n.Model]:
 		return Target{}, NoLease
-	case !ok:
+	case !ok || t.Version == "":
 		return Target{}, Unknown
 	}
 	return t, May
--- a/front/webhook/sign.go
+++ b/signing/sign.go
@@ -1,4 +1,6 @@
-package webhook
+// Package signing signs and verifies messages as the Standard Webhooks specification says: of calls and their answers,
+// and of what operators and controllers say to the registry.
+package signing
 
 import (
 	"bytes"
@@ -93,6 +95,9 @@
 	Body  []byte
 }
 
+// CanSign tells whether the key signs as well as verifies.
+func (k *Key) CanSign() bool { return k.macs != nil || k.private != nil }
+
 // Sign returns one signature with its version in front.
 func (k *Key) Sign(m Message) (string, error) {
 	switch {
@@ -155,8 +160,8 @@
 	return good == 1
 }
 
-// parseStamp reads a timestamp strictly: a second text for the same time would be a second message.
-func parseStamp(s string) (time.Time, bool) {
+// ParseStamp reads a timestamp strictly: a second text for the same time would be a second message.
+func ParseStamp(s string) (time.Time, bool) {
 	n, err := strconv.ParseInt(s, 10, 64)
 	if err != nil || n <= 0 || strconv.FormatInt(n, 10) != s {
 		return time.Time{}, false
@@ -166,7 +171,7 @@
 
 // Answers are signed under an id of their own that binds the outcome: the request's id with this in front. A
 // request that carries such an id is not taken, or a signed answer could be sent back as a call.
-const answerPrefix = "answer_"
+const AnswerPrefix = "answer_"
 
 // AnswerID returns the webhook-id of the answer with an outcome (served, refused, failed, ...) to a request.
-func AnswerID(outcome, id string) string { return answerPrefix + outcome + "_" + id }
+func AnswerID(outcome, id string) string { return AnswerPrefix + outcome + "_" + id }
--- a/front/webhook/sign_test.go
+++ b/signing/sign_test.go
@@ -1,4 +1,4 @@
-package webhook
+package signing
 
 import (
 	"crypto/ed25519"
@@ -154,11 +154,11 @@
 
 func TestParseStamp(t *testing.T) {
 	for _, s := range []string{"", "0", "-1", "+1", "01", "1.0", " 1", "1e3", "99999999999999999999"} {
-		if _, ok := parseStamp(s); ok {
+		if _, ok := ParseStamp(s); ok {
 			t.Errorf("%q was taken", s)
 		}
 	}
-	if at, ok := parseStamp("1614265330"); !ok || at.Unix() != 1614265330 {
+	if at, ok := ParseStamp("1614265330"); !ok || at.Unix() != 1614265330 {
 		t.Error(at, ok)
 	}
 }
