--- a/backend/infer.go
+++ b/backend/infer.go
@@ -25,6 +25,7 @@
 	HeaderTimeLeft   = "x-envoy-expected-rq-timeout-ms"
 	HeaderKey        = "Idempotency-Key"
 	HeaderTrace      = "traceparent"
+	HeaderDigest     = "kitehub-digest" // of the bytes that are to run, and that ran
 )
 
 // An Attempt is one call of a function at a worker.
@@ -33,6 +34,7 @@
 	Function string
 	Trace    string // traceparent
 	Key      string // repeats of it are dropped by the worker's group; "" for none
+	Digest   string // of the bytes that are to run; "": any
 	Body     []byte
 	Within   time.Duration
 	Wanted   func() bool // asked just before the first byte goes out; false ends it as Moot. nil: always
@@ -46,7 +48,8 @@
 	Alike   int
 	Report  []float64
 	Body    []byte
-	Status  int // of the worker's answer, 0 if there was none
+	Digest  string // of the bytes that ran, as the worker says
+	Status  int    // of the worker's answer, 0 if there was none
 }
 
 // A Running attempt can be cancelled.
@@ -79,13 +82,16 @@
 	if a.Key != "" {
 		req.Header.Add(HeaderKey, a.Key)
 	}
+	if a.Digest != "" {
+		req.Header.Add(HeaderDigest, a.Digest)
+	}
 	req.Body = append(head, a.Body...)
 	resp, o := b.exchange(x, p, req, a.Within, false)
 	res := Result{Outcome: o, Took: b.cfg.Clock.Now() - start}
 	if o != choice.OK {
 		return res
 	}
-	res.Status = resp.Status
+	res.Status, res.Digest = resp.Status, resp.Header.Get(HeaderDigest)
 	m := readLoad(resp.Header.Get(HeaderLoad))
 	res.Report = m.report(b.cfg.Fields)
 	res.Alike, res.Note = int(m.named["alike"]), choice.Note(m.named["copy"])
@@ -161,6 +167,7 @@
 type Order struct {
 	Worker   choice.WorkerID
 	Function string
+	Digest   string // of the bytes to load; "": the worker knows
 	Copies   int
 }
 
@@ -178,10 +185,14 @@
 	if p == nil {
 		return choice.Moot, 0
 	}
+	digest := ""
+	if o.Digest != "" {
+		digest = `,"digest":` + strconv.Quote(o.Digest)
+	}
 	req, within := b.post(p, "/v2/repository/index", []byte(`{"ready":true}`)), b.cfg.ProbeTime
 	if o.Copies > 0 {
 		req, within = b.post(p, "/v2/repository/models/"+url.PathEscape(o.Function)+"/load",
-			[]byte(`{"parameters":{"copies":`+strconv.Itoa(o.Copies)+`}}`)), b.cfg.OrderTime
+			[]byte(`{"parameters":{"copies":`+strconv.Itoa(o.Copies)+digest+`}}`)), b.cfg.OrderTime
 	}
 	resp, out := b.exchange(&call{}, p, req, within, o.Copies == 0)
 	if out != choice.OK {
--- a/choice/api.go
+++ b/choice/api.go
@@ -209,7 +209,7 @@
 	LoadFailed      // with Miss or Error: a load failed
 )
 
-// An Event is one of List, Arrival, Started, Returned, HungUp, Timer, Probed, Message and Held.
+// An Event is one of List, Arrival, Started, Returned, HungUp, Timer, Probed, Message, Held and Staged.
 type Event interface{ event() }
 
 // ListKind says what a List is.
@@ -242,6 +242,7 @@
 	Lanes    float64 // requests one copy runs at a time
 	LoadTime time.Duration
 	Retry    bool
+	Again    bool // the instance has taken it before, under another function: it earns no load anew
 	Write    bool
 }
 
@@ -295,7 +296,14 @@
 	Copies   int
 }
 
+// Staged says that copies of a function are wanted before it is called.
+type Staged struct {
+	Function FunctionID
+	Copies   int
+}
+
 func (List) event()     {}
+func (Staged) event()   {}
 func (Arrival) event()  {}
 func (Started) event()  {}
 func (Returned) event() {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -86,6 +86,8 @@
 			d.held(e)
 		case Probed:
 			d.answered(d.workers[e.Worker], e.Outcome)
+		case Staged:
+			d.stage(e)
 		}
 	}
 	d.sweep()
@@ -102,7 +104,7 @@
 	if _, known := d.requests[a.Request]; known || a.Class < 0 || a.Class >= len(d.s.Classes) {
 		return
 	}
-	if d.s.Loading.Window > 0 {
+	if d.s.Loading.Window > 0 && !a.Again {
 		d.arrivals = append(d.arrivals, d.now)
 	}
 	q := d.queue(a.Function)
@@ -525,6 +527,17 @@
 	return sp.ordered > 0 || d.warm(sp, w) || d.now >= w.loadTo && d.hold(w, q.fn, 1)
 }
 
+// stage orders the copies of a function that is about to be called, at the first workers of its ring, within
+// the limit on orders. It is told again until they stand.
+func (d *Dispatcher) stage(e Staged) {
+	q := d.queue(e.Function)
+	for _, w := range d.walk(q) {
+		if e.Copies > 0 && d.ready(w) && d.prepare(q, w) {
+			e.Copies--
+		}
+	}
+}
+
 func (d *Dispatcher) send(r *request, w *worker) {
 	q, work := r.q, d.classRun[r.Class]
 	d.unqueue(r)
--- a/cmd/kitehub/main.go
+++ b/cmd/kitehub/main.go
@@ -14,13 +14,14 @@
 )
 
 var cli struct {
-	Serve   serveCmd   `cmd:"" help:"Run one controller until SIGTERM."`
-	Demo    demoCmd    `cmd:"" help:"Play a bad day on loopback: controllers, stand-in workers and signed clients. Exit 0 only if all five rules were kept."`
-	Day     dayCmd     `cmd:"" help:"Scripted days of trouble."`
-	Standin standinCmd `cmd:"" help:"Host stand-in workers on loopback, for trying things out."`
-	Rules   rulesCmd   `cmd:"" help:"Judge the five rules from traces."`
-	Config  configCmd  `cmd:"" help:"Configurations."`
-	Key     keyCmd     `cmd:"" help:"Keys of webhooks."`
+	Serve    serveCmd    `cmd:"" help:"Run one controller until SIGTERM."`
+	Demo     demoCmd     `cmd:"" help:"Play a bad day on loopback: controllers, stand-in workers and signed clients. Exit 0 only if all five rules were kept."`
+	Day      dayCmd      `cmd:"" help:"Scripted days of trouble."`
+	Standin  standinCmd  `cmd:"" help:"Host stand-in workers on loopback, for trying things out."`
+	Rules    rulesCmd    `cmd:"" help:"Judge the five rules from traces."`
+	Config   configCmd   `cmd:"" help:"Configurations."`
+	Key      keyCmd      `cmd:"" help:"Keys of webhooks."`
+	Registry registryCmd `cmd:"" help:"Versions of models, and the aliases that name them."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/kitehub/registry.go
@@ -0,0 +1,419 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kitehub/config"
+	"kitehub/internal/clock"
+	"kitehub/internal/http1"
+	"kitehub/registry"
+	"kitehub/registry/client"
+	"kitehub/registry/service"
+	"kitehub/registry/wire"
+	"kitehub/signing"
+	"kitehub/store"
+)
+
+type registryCmd struct {
+	Serve    registryServeCmd    `cmd:"" help:"Run the registry until SIGTERM."`
+	Push     registryPushCmd     `cmd:"" help:"Make a version of a model known, by the digest of its bytes."`
+	Stage    registryStageCmd    `cmd:"" help:"Promote once copies stand: the alias moves when they do, or not at all."`
+	Promote  registryPromoteCmd  `cmd:"" help:"Move an alias to a version, and wait until no answer of the one before can go out."`
+	Rollback registryRollbackCmd `cmd:"" help:"Give up a move that is staging, or move an alias back."`
+	Condemn  registryCondemnCmd  `cmd:"" help:"Bar bytes for ever, under all names. Aliases that name them name nothing then."`
+	Policy   registryPolicyCmd   `cmd:"" help:"Say whether a model's answers are better than none while a controller does not hear the registry."`
+	List     registryListCmd     `cmd:"" help:"Models, versions, aliases and controllers."`
+	History  registryHistoryCmd  `cmd:"" help:"Who moved what, when and why."`
+	Move     registryMoveCmd     `cmd:"" help:"How far a move is."`
+	Watch    registryWatchCmd    `cmd:"" help:"Print aliases as they change, until interrupted."`
+	Gc       registryGcCmd       `cmd:"" help:"Forget versions that nothing names any more, and print their digests."`
+	Export   registryExportCmd   `cmd:"" help:"Print versions and aliases as JSON."`
+	Import   registryImportCmd   `cmd:"" help:"Read from standard input what export printed, into an empty registry."`
+}
+
+type registryServeCmd struct {
+	Config string `required:"" type:"path" help:"Configuration, in protobuf text format."`
+}
+
+// Run serves until SIGTERM or SIGINT, or until the store is broken: then it ends with an error, to be started anew.
+func (s *registryServeCmd) Run() error {
+	b, err := config.LoadRegistry(s.Config)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("process", "registry").Logger()
+	if err := os.MkdirAll(b.Dir, 0o700); err != nil {
+		return fmt.Errorf("state_dir: %w", err)
+	}
+	unlock, err := store.Lock(b.Dir)
+	if err != nil {
+		return fmt.Errorf("state_dir: %w", err)
+	}
+	defer unlock()
+	sc := b.Service
+	sc.Clock, sc.FS, sc.Log = clock.System(), store.Dir(b.Dir), log
+	svc, rec, err := service.Open(sc)
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", b.Listen)
+	if err != nil {
+		svc.Close()
+		return fmt.Errorf("listen: %w", err)
+	}
+	srv := &http1.Server{Handler: service.NewFront(svc, b.Callers, time.Duration(b.Past)*time.Millisecond), MaxOpen: b.MaxOpen,
+		Limits: http1.Limits{Body: 4 << 20, Idle: time.Minute}}
+	go srv.Serve(ln)
+	log.Info().Str("listen", ln.Addr().String()).Uint64("snapshot", rec.Snapshot).Int("records", rec.Records).Int64("cut", rec.Cut).Msg("serving")
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for end := false; !end; {
+		select {
+		case <-signals:
+			end = true
+		case <-tick.C:
+			err = svc.Broken()
+			end = err != nil
+		}
+	}
+	ln.Close()
+	go srv.Drain(2 * time.Second)
+	cerr := svc.Close()
+	srv.Drain(2 * time.Second)
+	return errors.Join(err, cerr)
+}
+
+// remote is how an operator's commands reach the registry.
+type remote struct {
+	Server  string        `required:"" env:"KITEHUB_REGISTRY" help:"host:port of the registry."`
+	KeyFile string        `required:"" type:"existingfile" env:"KITEHUB_REGISTRY_KEY" help:"File with the operator's secret."`
+	Key     string        `help:"Of the command: the same again does nothing anew. Drawn if not given."`
+	Wait    time.Duration `default:"25s" help:"How long to wait for a move."`
+	Why     string        `help:"For the history."`
+}
+
+func (r *remote) client() (*client.Client, error) {
+	text, err := os.ReadFile(r.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	k, err := signing.ParseKey(strings.TrimSpace(string(text)))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", r.KeyFile, err)
+	}
+	return &client.Client{Server: r.Server, Name: "operator", Key: k, Wall: time.Now}, nil
+}
+
+// send gives a command and prints what came of it. A move that has not ended yet is an error that says how to go on.
+func (r *remote) send(cmd wire.Command) error {
+	c, err := r.client()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	key := r.Key
+	if key == "" {
+		key = client.ID("cli")
+	}
+	cmd.WaitMS = r.Wait.Milliseconds()
+	a, err := c.Command(key, cmd)
+	var status *client.StatusError
+	if err != nil {
+		if !errors.As(err, &status) || status.Status == 503 {
+			return fmt.Errorf("%w\nit may have been taken: the same again with --key %s is safe", err, key)
+		}
+		return err
+	}
+	if a.Again {
+		fmt.Println("the key was used for this before: nothing was done anew")
+	}
+	for _, x := range a.Collected {
+		fmt.Println(x.Model, x.Version, x.Digest)
+	}
+	switch {
+	case a.Move == 0:
+		return nil
+	case a.Status == "acknowledged":
+		fmt.Printf("move %d is acknowledged\n", a.Move)
+		return nil
+	case a.Status == "given up":
+		return fmt.Errorf("move %d was given up: %s", a.Move, a.Why)
+	}
+	return fmt.Errorf("move %d is still %s: kitehub registry move %d asks again", a.Move, a.Status, a.Move)
+}
+
+func (r *remote) query(q wire.Query) (*wire.Answer, error) {
+	c, err := r.client()
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	return c.Query(q)
+}
+
+type registryPushCmd struct {
+	remote
+	Model    string        `arg:""`
+	Version  string        `arg:""`
+	Digest   string        `arg:"" help:"sha256: and 64 hexadecimal digits."`
+	Size     int64         `help:"Bytes."`
+	MemoryMB float64       `name:"memory-mb"`
+	Lanes    int           ``
+	Load     time.Duration `help:"How long a load takes."`
+}
+
+func (p *registryPushCmd) Run() error {
+	return p.send(wire.Command{Push: &registry.Push{Model: p.Model, Why: p.Why, Version: registry.Version{Name: p.Version, Digest: p.Digest, Size: p.Size,
+		MemoryMB: p.MemoryMB, Lanes: p.Lanes, Load: p.Load}}})
+}
+
+type registryPromoteCmd struct {
+	remote
+	Model      string `arg:""`
+	Alias      string `arg:""`
+	Version    string `arg:""`
+	IfRevision uint64 `required:"" help:"Revision that the alias has; 0 makes it. kitehub registry list tells it."`
+	Copies     int    `help:"Copies that must stand first."`
+}
+
+type registryStageCmd struct{ registryPromoteCmd }
+
+func (p *registryStageCmd) Run() error {
+	if p.Copies == 0 {
+		return errors.New("--copies: give the number of copies that must stand")
+	}
+	return p.registryPromoteCmd.Run()
+}
+
+func (p *registryPromoteCmd) Run() error {
+	return p.send(wire.Command{Promote: &registry.Promote{Model: p.Model, Alias: p.Alias, To: p.Version, IfRevision: p.IfRevision, Copies: p.Copies, Why: p.Why}})
+}
+
+type registryRollbackCmd struct {
+	remote
+	Model      string `arg:""`
+	Alias      string `arg:""`
+	IfRevision uint64 `required:"" help:"Revision that the alias has."`
+}
+
+func (p *registryRollbackCmd) Run() error {
+	return p.send(wire.Command{Rollback: &registry.Rollback{Model: p.Model, Alias: p.Alias, IfRevision: p.IfRevision, Why: p.Why}})
+}
+
+type registryCondemnCmd struct {
+	remote
+	Model   string `arg:""`
+	Version string `arg:""`
+}
+
+func (p *registryCondemnCmd) Run() error {
+	return p.send(wire.Command{Condemn: &registry.Condemn{Model: p.Model, Version: p.Version, Why: p.Why}})
+}
+
+type registryPolicyCmd struct {
+	remote
+	Model string `arg:""`
+	Stale string `arg:"" enum:"stale,fresh" help:"stale: an answer that may be of a version that was left is better than none. fresh: refuse."`
+}
+
+func (p *registryPolicyCmd) Run() error {
+	return p.send(wire.Command{Policy: &registry.Policy{Model: p.Model, Stale: p.Stale == "stale", Why: p.Why}})
+}
+
+type registryGcCmd struct{ remote }
+
+func (p *registryGcCmd) Run() error {
+	return p.send(wire.Command{Collect: &registry.Collect{Why: p.Why}})
+}
+
+type registryListCmd struct {
+	remote
+	Model string `arg:"" optional:""`
+}
+
+func (p *registryListCmd) Run() error {
+	a, err := p.query(wire.Query{What: "list", Model: p.Model})
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	for _, text := range a.Models {
+		var m registry.Model
+		if err := json.Unmarshal(text, &m); err != nil {
+			return err
+		}
+		for _, x := range byName(m.Aliases) {
+			moving := ""
+			if x.Move != nil && x.Move.Fenced {
+				moving = fmt.Sprintf("move %d waits for controllers", x.Move.ID)
+			} else if x.Move != nil {
+				moving = fmt.Sprintf("move %d to %s waits for copies", x.Move.ID, x.Move.To)
+			}
+			fmt.Fprintf(w, "alias\t%s\t%s\t%s\trevision %d\t%s\n", m.Name, x.Name, x.Version, x.Revision, moving)
+		}
+		for _, v := range byName(m.Versions) {
+			fmt.Fprintf(w, "version\t%s\t%s\t%s\t%s\t%d bytes\n", m.Name, v.Name, v.Phase, v.Digest, v.Size)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.Holders)) {
+		fmt.Fprintf(w, "controller\t%s\tepoch %d of %d\n", name, a.Holders[name], a.Epoch)
+	}
+	return w.Flush()
+}
+
+type registryHistoryCmd struct {
+	remote
+	Model string `arg:"" optional:""`
+}
+
+func (p *registryHistoryCmd) Run() error {
+	a, err := p.query(wire.Query{What: "history", Model: p.Model})
+	if err != nil {
+		return err
+	}
+	for _, l := range a.History {
+		fmt.Printf("%s  %s  %s  %s\n", l.At.UTC().Format(time.RFC3339), l.By, l.What, l.Why)
+	}
+	return nil
+}
+
+type registryMoveCmd struct {
+	remote
+	Move uint64 `arg:""`
+}
+
+func (p *registryMoveCmd) Run() error {
+	a, err := p.query(wire.Query{What: "move", Move: p.Move, WaitMS: p.Wait.Milliseconds()})
+	if err != nil {
+		return err
+	}
+	fmt.Println(strings.TrimSpace(a.Status + " " + a.Why))
+	return nil
+}
+
+type registryWatchCmd struct{ remote }
+
+func (p *registryWatchCmd) Run() error {
+	c, err := p.client()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	for since := uint64(0); ; {
+		a, err := c.Query(wire.Query{What: "watch", Since: since, WaitMS: 20000})
+		if err != nil {
+			return err
+		}
+		for _, t := range a.Targets {
+			fmt.Printf("epoch %d  %s %s  %s  revision %d\n", a.Epoch, t.Model, t.Alias, t.Version, t.Revision)
+		}
+		since = a.Epoch
+	}
+}
+
+// An exported registry holds what an empty one needs to name the same bytes under the same names. Revisions begin anew.
+type exported struct {
+	Pushes  []registry.Push
+	Aliases []registry.Promote
+	Stale   []string
+}
+
+type registryExportCmd struct{ remote }
+
+func (p *registryExportCmd) Run() error {
+	a, err := p.query(wire.Query{What: "export"})
+	if err != nil {
+		return err
+	}
+	var s registry.State
+	if err := json.Unmarshal(a.State, &s); err != nil {
+		return err
+	}
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(export(&s))
+}
+
+func byName[V any](m map[string]V) (l []V) {
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		l = append(l, m[name])
+	}
+	return l
+}
+
+func export(s *registry.State) (e exported) {
+	for _, m := range byName(s.Models) {
+		for _, v := range byName(m.Versions) {
+			if v.Phase != registry.Condemned {
+				e.Pushes = append(e.Pushes, registry.Push{Model: m.Name, Version: registry.Version{Name: v.Name, Digest: v.Digest, Size: v.Size,
+					MemoryMB: v.MemoryMB, Lanes: v.Lanes, Load: v.Load}})
+			}
+		}
+		for _, x := range byName(m.Aliases) {
+			if x.Version != "" {
+				e.Aliases = append(e.Aliases, registry.Promote{Model: m.Name, Alias: x.Name, To: x.Version})
+			}
+		}
+		if m.Stale {
+			e.Stale = append(e.Stale, m.Name)
+		}
+	}
+	return e
+}
+
+type registryImportCmd struct{ remote }
+
+func (p *registryImportCmd) Run() error {
+	d := json.NewDecoder(os.Stdin)
+	d.DisallowUnknownFields()
+	var e exported
+	if err := d.Decode(&e); err != nil {
+		return fmt.Errorf("standard input: %w", err)
+	}
+	key := p.Key
+	if key == "" {
+		key = client.ID("import")
+	}
+	n := 0
+	send := func(cmd wire.Command) error { // each part has a key of its own: an import that stopped is gone on with by --key
+		n++
+		p.Key = fmt.Sprintf("%s-%d", key, n)
+		if err := p.send(cmd); err != nil {
+			return fmt.Errorf("part %d: %w\ngo on with --key %s", n, err, key)
+		}
+		return nil
+	}
+	for i := range e.Pushes {
+		e.Pushes[i].Why = p.Why
+		if err := send(wire.Command{Push: &e.Pushes[i]}); err != nil {
+			return err
+		}
+	}
+	for _, m := range e.Stale {
+		if err := send(wire.Command{Policy: &registry.Policy{Model: m, Stale: true, Why: p.Why}}); err != nil {
+			return err
+		}
+	}
+	for i := range e.Aliases {
+		e.Aliases[i].Why = p.Why
+		if err := send(wire.Command{Promote: &e.Aliases[i]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/config/build.go
+++ b/config/build.go
@@ -37,6 +37,8 @@
 	Discovery discovery.Config
 	Mark      string
 	Peers     map[int]string
+	Registry  string       // "": none
+	Key       *signing.Key // of this controller there
 	Level     zerolog.Level
 	NoLines   bool
 	Stop      time.Duration
@@ -90,6 +92,17 @@
 			f.Problem("zone", fmt.Sprintf("%q is not among zones", c.Zone), "add it there")
 		}
 	}
+	if r := c.Registry; r != nil {
+		b.Registry = r.Server
+		var err error
+		if b.Key, err = signing.ParseKey(r.Key); err == nil && !b.Key.CanSign() {
+			err = errors.New("a public key does not sign")
+		}
+		if err != nil {
+			f.Problem("registry.key", err.Error(), "make a secret with: kitehub key new")
+		}
+		b.Secrets = append(b.Secrets, r.Key)
+	}
 	b.settings(c, zone)
 	b.functions(f, c)
 	tenants := map[string]int{}
@@ -187,7 +200,13 @@
 		if most == 0 {
 			most = 1000
 		}
-		b.Specs = append(b.Specs, gateway.Spec{Name: fn.Name, Class: class, MemoryMB: fn.MemoryMb, Lanes: fn.Lanes, LoadTime: ms(fn.LoadMs), Most: most})
+		b.Specs = append(b.Specs, gateway.Spec{Name: fn.Name, Class: class, MemoryMB: fn.MemoryMb, Lanes: fn.Lanes, LoadTime: ms(fn.LoadMs), Most: most, Versions: fn.Versions})
+		if fn.Versions && c.Registry == nil {
+			f.Problem(at+".versions", "no registry is named", "add a registry section")
+		}
+		if fn.Versions && strings.HasSuffix(fn.Name, "*") {
+			f.Problem(at+".versions", "a model has no star in its name", "name each model")
+		}
 	}
 }
 
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -24,6 +24,8 @@
 	"kitehub/gateway"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
+	"kitehub/registry/agent"
+	"kitehub/registry/client"
 )
 
 // Options are what a configuration does not say.
@@ -48,6 +50,7 @@
 	ln      net.Listener
 	watch   *discovery.Watcher
 	peers   *peers
+	agent   *agent.Agent
 	lock    *os.File
 
 	mu    sync.Mutex
@@ -89,6 +92,10 @@
 		}
 		gc.Peers = c.peers
 	}
+	ms := &models{clock: o.Clock}
+	if b.Registry != "" {
+		gc.Versions = ms
+	}
 	if c.Gateway, err = gateway.New(gc); err != nil {
 		return err
 	}
@@ -97,6 +104,12 @@
 		return err
 	}
 	wc := b.Webhook
+	if b.Registry != "" {
+		ms.gateway, ms.functions = c.Gateway, functions
+		c.agent = agent.Start(agent.Config{Client: &client.Client{Server: b.Registry, Name: b.Name, Key: b.Key, Wall: o.Clock.Wall,
+			Dial: c.tracked((&net.Dialer{}).DialContext)}, Node: b.Name, Clock: o.Clock, Log: o.Log, Moved: c.Gateway.Sweep, Stage: ms.stage, Ready: func(a *agent.Agent) { ms.agent = a }})
+		wc.Models = ms
+	}
 	wc.Gateway, wc.Clock, wc.Log, wc.Mark, wc.Functions = c.Gateway, o.Clock, o.Log, webhook.File(b.Mark), functions.Find
 	wc.Deadline = func(class int) time.Duration { return b.Settings.Classes[class].Deadline }
 	wc.Effect = func(class int) choice.Effect { return b.Settings.Classes[class].Effect }
@@ -230,6 +243,9 @@
 	c.watch.Stop()
 	err := c.Front.Close()
 	c.Backend.Close()
+	if c.agent != nil {
+		c.agent.Stop()
+	}
 	if c.peers != nil {
 		c.peers.close()
 	}
@@ -284,6 +300,9 @@
 	if c.Backend != nil {
 		c.Backend.Close()
 	}
+	if c.agent != nil {
+		c.agent.Stop()
+	}
 	if c.peers != nil {
 		c.peers.close()
 	}
--- /dev/null
+++ b/controller/models.go
@@ -0,0 +1,79 @@
+package controller
+
+import (
+	"strings"
+	"time"
+
+	"kitehub/gateway"
+	"kitehub/internal/clock"
+	"kitehub/registry"
+	"kitehub/registry/agent"
+	"kitehub/registry/wire"
+)
+
+// models joins the registry's agent with the gateway's functions: what the front and the gateway ask of versions.
+type models struct {
+	agent     *agent.Agent
+	functions *gateway.Functions
+	gateway   *gateway.Gateway
+	clock     clock.Clock
+}
+
+// Bind implements webhook.Models.
+func (m *models) Bind(model *gateway.Function, alias string) (*gateway.Function, gateway.Bound, registry.Verdict) {
+	b := gateway.Bound{Name: registry.Name{Model: model.Name, Alias: alias}}
+	t, v := m.agent.Resolve(b.Name)
+	if v != registry.May {
+		return nil, b, v
+	}
+	fn, err := m.functions.Version(model, t.Version, t.Digest)
+	if err != nil {
+		return nil, b, registry.Unknown
+	}
+	b.Target = t
+	m.agent.Use(registry.Bytes{Model: model.Name, Version: t.Version})
+	return fn, b, v
+}
+
+// Unbind implements webhook.Models.
+func (m *models) Unbind(b gateway.Bound, ran, failed bool) {
+	m.agent.Unuse(registry.Bytes{Model: b.Name.Model, Version: b.Target.Version}, ran, failed)
+}
+
+// Begin implements webhook.Models.
+func (m *models) Begin(b gateway.Bound) (func(), time.Duration, registry.Verdict) {
+	t, until, v := m.agent.Begin(b.Name, b.Target)
+	if v != registry.May {
+		return nil, 0, v
+	}
+	within := time.Duration(0)
+	if until > 0 {
+		within = max(1, until-m.clock.Now())
+	}
+	return func() { m.agent.End(t) }, within, v
+}
+
+// MayAnswer implements gateway.Versions.
+func (m *models) MayAnswer(n registry.Name, t registry.Target) registry.Verdict {
+	return m.agent.MayAnswer(n, t)
+}
+
+// Stands implements gateway.Versions.
+func (m *models) Stands(function, worker string, copies int) {
+	if model, version, ok := strings.Cut(function, "@"); ok {
+		m.agent.Stands(registry.Bytes{Model: model, Version: version}, worker, copies)
+	}
+}
+
+// stage hands the registry's wish for copies to the module, which orders them within its budget.
+func (m *models) stage(l []wire.Stage) {
+	for _, s := range l {
+		model := m.functions.Find(s.Model)
+		if model == nil || !model.Versions {
+			continue // this controller serves no such model
+		}
+		if fn, err := m.functions.Version(model, s.Version, s.Digest); err == nil {
+			m.gateway.Stage(fn, s.Copies)
+		}
+	}
+}
--- a/day/load.go
+++ b/day/load.go
@@ -326,6 +326,9 @@
 	l.log.Add(asked)
 	w.SetDeadline(time.Now().Add(end - now + time.Second))
 	answer := func(outcome string, after time.Duration) (string, time.Duration) {
+		if rec.Revision > 0 {
+			rec.Function += "@current"
+		}
 		rec.Kind, rec.At, rec.Outcome = trace.Answered, 0, outcome
 		l.log.Add(rec)
 		return outcome, after
@@ -340,6 +343,7 @@
 		return answer(rules.Unreached, 0)
 	}
 	outcome, after := "served", time.Duration(0)
+	rec.Revision, _ = strconv.ParseUint(resp.Header.Get("kitehub-revision"), 10, 64)
 	if resp.Status != 200 {
 		var prob struct {
 			Outcome string
--- a/day/play.go
+++ b/day/play.go
@@ -95,7 +95,12 @@
 	Classes []string
 	Tallies []*Tally
 	Forged  int
-	Trace   []trace.Record
+	// Of a day with versions: what became of moves, what the trace shows, calls that began anew, answers withheld at the
+	// door, and answers of other bytes that were dropped.
+	Moves                      VersionCounts
+	Versions                   *rules.VersionVerdict
+	Anew, Withheld, Mismatched int64
+	Trace                      []trace.Record
 	// Attempts that reached workers, loads ordered, fetches that the store served and turned away.
 	Attempts, Orders, Fetches, Refusals int
 	// LateStep is the longest that a step of a controller that ran at the end came after its time.
@@ -105,20 +110,21 @@
 const cluster = "workers"
 
 type player struct {
-	s       *Day
-	o       Options
-	clk     clock.Clock
-	log     *trace.Log
-	host    *standin.Host
-	list    *standin.List
-	net     *network
-	load    *load
-	dir     string
-	secrets []string // common keys of the tenants
-	rng     *rand.Rand
-	begin   time.Duration
-	wg      sync.WaitGroup
-	stop    chan struct{}
+	s        *Day
+	o        Options
+	clk      clock.Clock
+	log      *trace.Log
+	host     *standin.Host
+	list     *standin.List
+	net      *network
+	load     *load
+	versions *versions // nil: functions have none
+	dir      string
+	secrets  []string // common keys of the tenants
+	rng      *rand.Rand
+	begin    time.Duration
+	wg       sync.WaitGroup
+	stop     chan struct{}
 
 	mu          sync.Mutex
 	controllers []*controller.Controller
@@ -164,17 +170,25 @@
 		hc.Fleet.Workers = append(hc.Fleet.Workers, w)
 		p.specs[w.Name] = w
 	}
+	var models []string
 	for _, c := range s.Classes {
 		hc.Fleet.Window = max(hc.Fleet.Window, ms(c.WindowMs))
 		for i := range int(c.Functions) + 3 {
 			hc.Functions = append(hc.Functions, standin.Kind{Function: fleet.Function{Name: functionName(c.Name, i), MemoryMB: c.MemoryMb,
-				Lanes: int(c.Lanes), Fetch: ms(c.FetchMs), Start: ms(c.StartMs)}, Class: c.Name, Work: ms(c.WorkMs), Keyed: c.Effect == "keyed"})
+				Lanes: int(c.Lanes), Fetch: ms(c.FetchMs), Start: ms(c.StartMs)}, Class: c.Name, Work: ms(c.WorkMs), Keyed: c.Effect == "keyed", Versions: s.Versions != nil})
+			models = append(models, functionName(c.Name, i))
 		}
 	}
 	if len(s.Tenants) == 0 {
 		s.Tenants = []*Tenant{{Name: "all", Share: 1}}
 	}
 	var err error
+	if s.Versions != nil {
+		if p.versions, err = newVersions(p, models); err != nil {
+			return err
+		}
+		hc.Fetch = p.versions.get
+	}
 	if p.host, err = standin.Start(hc); err != nil {
 		return err
 	}
@@ -332,12 +346,21 @@
 			scope = fmt.Sprintf("scope: SAME_GROUP window_ms: %v", c.WindowMs)
 		}
 		w("classes { name: %q effect: %s %s aim_ms: %v deadline_ms: %v worth: 1 late_share: 0.2 }", c.Name, strings.ToUpper(c.Effect), scope, c.AimMs, c.DeadlineMs)
+		if s.Versions != nil {
+			for i := range int(c.Functions) + 3 {
+				w("functions { name: %q class: %q memory_mb: %v lanes: %d load_ms: %v versions: true }", functionName(c.Name, i), c.Name, c.MemoryMb, c.Lanes, c.FetchMs+c.StartMs)
+			}
+			continue
+		}
 		w("functions { name: \"%s-*\" class: %q memory_mb: %v lanes: %d load_ms: %v most: %d }", c.Name, c.Name, c.MemoryMb, c.Lanes, c.FetchMs+c.StartMs, c.Functions+10)
 	}
 	for i, t := range s.Tenants {
 		w("tenants { name: %q share: %v }", t.Name, t.Share)
 		w("clients { name: %q tenant: %q common_keys: %q }", "client-"+t.Name, t.Name, p.secrets[i])
 	}
+	if p.versions != nil {
+		w("registry { server: %q key: %q }", p.versions.addr, p.versions.keys[controllerName(i)])
+	}
 	if s.Stream {
 		w("discovery { server: %q cluster: %q }", p.list.Addr(), cluster)
 	} else {
@@ -364,6 +387,10 @@
 	}
 	p.wg.Add(1)
 	go p.watchMachine()
+	if p.versions != nil {
+		p.wg.Add(1)
+		go p.versions.move()
+	}
 	if p.o.Progress != nil {
 		p.wg.Add(1)
 		go p.progress()
@@ -395,6 +422,19 @@
 		}
 	}
 	p.mu.Unlock()
+	if p.versions != nil {
+		res.Moves = p.versions.counts
+		res.Versions = rules.Versions(res.Trace, 50*time.Millisecond)
+		p.mu.Lock()
+		for _, c := range p.controllers {
+			if c != nil {
+				res.Anew += c.Front.Counts.Anew.Load()
+				res.Withheld += c.Front.Counts.Withheld.Load()
+				res.Mismatched += c.Gateway.Counts.Mismatched.Load()
+			}
+		}
+		p.mu.Unlock()
+	}
 	res.Verdict, err = rules.Judge(res.Trace)
 	return res, err
 }
@@ -455,4 +495,7 @@
 	if p.host != nil {
 		p.host.Close()
 	}
+	if p.versions != nil {
+		p.versions.close()
+	}
 }
--- a/day/result.go
+++ b/day/result.go
@@ -49,5 +49,16 @@
 		t.Served, t.Refused, t.Failed, t.Late, t.Calls, t.Tries, r.Attempts, r.Orders, r.Fetches, r.Refusals)
 	fmt.Fprintf(w, "longest that a controller's step came late: %v\n", r.LateStep.Round(100*time.Microsecond))
 	fmt.Fprintf(w, "most sent to a cold worker: %.2f of what pushes it over; answers whose signature does not verify: %d\n", r.Verdict.ColdPeak, r.Forged)
+	if v := r.Versions; v != nil {
+		m := r.Moves
+		fmt.Fprintf(w, "moves: %d acknowledged, %d given up, %d unknown of %d; longest %v; calls begun anew %d, answers withheld at the door %d, answers of other bytes dropped %d\n",
+			m.Acknowledged, m.GivenUp, m.Unknown, m.Asked, m.Longest.Round(time.Millisecond), r.Anew, r.Withheld, r.Mismatched)
+		fmt.Fprintf(w, "versions: %d answers and %d runs judged, %d answers near a move, %d breaks\n", v.Answers, v.Runs, v.Near, len(v.Breaks))
+		for i, b := range v.Breaks {
+			if i < 10 {
+				fmt.Fprintf(w, "  %v %s\n", b.At.Round(time.Millisecond), b.What)
+			}
+		}
+	}
 	r.Verdict.Write(w, 10)
 }
--- a/day/trouble.go
+++ b/day/trouble.go
@@ -74,6 +74,19 @@
 		f()
 	}
 	switch t.What {
+	case What_REGISTRY:
+		if p.versions != nil {
+			addr := p.versions.addr
+			p.versions.kill()
+			p.wait(length)
+			if err := p.versions.start(addr); err != nil {
+				p.fail(err)
+			}
+		}
+	case What_LIES:
+		if p.versions != nil {
+			p.versions.lie(p.pick(t.Part))
+		}
 	case What_KILL:
 		workers := p.pick(t.Part)
 		for _, w := range workers {
--- a/front/webhook/front.go
+++ b/front/webhook/front.go
@@ -32,6 +32,7 @@
 	"kitehub/gateway"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
+	"kitehub/registry"
 	"kitehub/replay"
 	"kitehub/signing"
 )
@@ -65,12 +66,25 @@
 	Replay    replay.Settings
 	Mark      MarkFile
 	Log       zerolog.Logger
-	MaxJoin   int // tries that wait for the same call; 0: 16
+	MaxJoin   int    // tries that wait for the same call; 0: 16
+	Models    Models // nil: no function has versions
+}
+
+// Models is the registry as this controller knows it. agent.Agent with gateway.Functions is one.
+type Models interface {
+	// Bind resolves a model's alias to a version, as a function of its own.
+	Bind(model *gateway.Function, alias string) (*gateway.Function, gateway.Bound, registry.Verdict)
+	// Unbind ends a call's hold on its version; ran and failed say whether a worker answered it, and in an error.
+	Unbind(b gateway.Bound, ran, failed bool)
+	// Begin asks, just before the first byte, for an answer to be let out; see agent.Begin.
+	Begin(gateway.Bound) (done func(), within time.Duration, v registry.Verdict)
 }
 
 // Counts of what came in, by what became of it before the gateway.
 type Counts struct {
 	Forged, Replayed, Reused, Stale, Joined, Kept, Unsettled, Unknown, Crowded atomic.Int64
+	// Anew counts calls that began anew as their alias moved, Withheld answers stopped at the door.
+	Anew, Withheld atomic.Int64
 }
 
 // A Front answers webhooks. It is safe for concurrent use.
@@ -93,6 +107,7 @@
 	done    chan struct{}
 	conns   []*http1.Conn
 	answer  gateway.Answer
+	bound   *gateway.Bound // of the answer
 	ended   bool
 	started bool
 }
@@ -247,8 +262,17 @@
 func (f *Front) verified(c *http1.Conn, r *http1.Request, v verified, path string) *http1.Response {
 	name, ok := f.functionName(path, r.Body)
 	fn := (*gateway.Function)(nil)
+	alias := ""
 	if ok {
-		fn = f.cfg.Functions(name)
+		if fn = f.cfg.Functions(name); fn == nil || fn.Versions {
+			var model string
+			if model, alias, ok = strings.Cut(name, "@"); !ok {
+				alias = "current"
+			}
+			if fn = f.cfg.Functions(model); fn != nil && (!fn.Versions || alias == "" || f.cfg.Models == nil) {
+				fn = nil
+			}
+		}
 	}
 	if fn == nil {
 		f.Counts.Unknown.Add(1)
@@ -256,7 +280,7 @@
 	}
 	key := replay.Key{Client: v.client, ID: v.id}
 	digest := sha256.New()
-	digest.Write([]byte(fn.Name + "\x00"))
+	digest.Write([]byte(fn.Name + "\x00" + alias + "\x00"))
 	digest.Write(r.Body)
 	m := replay.Message{Key: key, Stamp: v.stamp}
 	digest.Sum(m.Digest[:0])
@@ -280,13 +304,14 @@
 
 	switch verdict {
 	case replay.New, replay.Retry:
-		return f.call(c, r, v, key, fn, l, verdict == replay.Retry)
+		return f.call(c, r, v, key, fn, alias, l, verdict == replay.Retry)
 	case replay.Join:
 		f.Counts.Joined.Add(1)
-		return f.wait(c, key, l)
+		return f.wait(c, v, key, l, fn.Class)
 	case replay.Kept:
 		f.Counts.Kept.Add(1)
-		return &http1.Response{Status: kept.Status, Header: http1.Header{{Name: "Content-Type", Value: kept.Type}}, Body: kept.Body}
+		b, _ := kept.Tag.(*gateway.Bound)
+		return f.gated(v, key, b, fn.Class, &http1.Response{Status: kept.Status, Header: http1.Header{{Name: "Content-Type", Value: kept.Type}}, Body: kept.Body})
 	case replay.Lost:
 		return problem(502, "failed", "the call has ended; its answer was too large to keep", nil)
 	case replay.Replay:
@@ -320,24 +345,36 @@
 }
 
 // call submits a new call and waits for its answer.
-func (f *Front) call(c *http1.Conn, r *http1.Request, v verified, key replay.Key, fn *gateway.Function, l *live, retry bool) *http1.Response {
+func (f *Front) call(c *http1.Conn, r *http1.Request, v verified, key replay.Key, fn *gateway.Function, alias string, l *live, retry bool) *http1.Response {
 	client := (*f.clients.Load())[v.client]
-	call := &gateway.Call{ID: v.id, Function: fn, Tenant: client.Tenant, Client: client.Name, Body: r.Body, Retry: retry,
+	call := gateway.Call{ID: v.id, Function: fn, Tenant: client.Tenant, Client: client.Name, Body: r.Body, Retry: retry,
 		Trace: traceID(r.Header.Get("traceparent")), Expires: patience(r.Header, f.cfg.Deadline(fn.Class))}
 	if f.cfg.Effect(fn.Class) == choice.Keyed {
 		call.Key = client.Name + ":" + v.id
 	}
-	call.Deliver = func(a gateway.Answer) {
-		// What a client left is its own to try again, unless it may have run and must not twice.
-		if a.Kind == gateway.Gone && (!a.MayRun || f.cfg.Effect(fn.Class) == choice.Safe) {
-			a.Kind = gateway.Refused
-		}
-		f.deliver(key, l, a)
+	if fn.Versions {
+		f.bind(call, fn, alias, f.cfg.Clock.Now()+call.Expires, 0, key, l)
+	} else {
+		call.Deliver = func(a gateway.Answer) { f.deliver(key, l, f.ungone(a, fn.Class), nil) }
+		f.submit(&call, key, l)
+	}
+	return f.wait(c, v, key, l, fn.Class)
+}
+
+// ungone: what a client left is its own to try again, unless it may have run and must not twice.
+func (f *Front) ungone(a gateway.Answer, class int) gateway.Answer {
+	if a.Kind == gateway.Gone && (!a.MayRun || f.cfg.Effect(class) == choice.Safe) {
+		a.Kind = gateway.Refused
 	}
+	return a
+}
+
+// submit hands a call to the gateway.
+func (f *Front) submit(call *gateway.Call, key replay.Key, l *live) {
 	id, taken := f.cfg.Gateway.Submit(call)
 	if !taken {
-		f.deliver(key, l, gateway.Answer{Kind: gateway.Refused, After: time.Second})
-		return f.wait(c, key, l)
+		call.Deliver(gateway.Answer{Kind: gateway.Refused, After: time.Second})
+		return
 	}
 	f.mu.Lock()
 	l.id, l.started = id, true
@@ -346,22 +383,67 @@
 	if left {
 		f.cfg.Gateway.HangUp(id)
 	}
-	return f.wait(c, key, l)
+}
+
+// bind resolves a call's alias and submits it; the alias may leave its version before the answer, and the call begin anew
+// then, or end: registry.After says which. It does not block, so it may be called where an answer is delivered.
+func (f *Front) bind(call gateway.Call, model *gateway.Function, alias string, final time.Duration, times int, key replay.Key, l *live) {
+	fn, b, verdict := f.cfg.Models.Bind(model, alias)
+	switch verdict {
+	case registry.May:
+	case registry.Unknown:
+		f.deliver(key, l, gateway.Answer{Kind: gateway.Refused, Verdict: verdict}, nil)
+		return
+	default:
+		f.deliver(key, l, gateway.Answer{Kind: gateway.Refused, Verdict: registry.NoLease, After: time.Second}, nil)
+		return
+	}
+	b.Times = times
+	call.Function, call.Bound, call.Expires = fn, &b, final-f.cfg.Clock.Now()
+	call.Deliver = func(a gateway.Answer) {
+		f.cfg.Models.Unbind(b, a.Kind == gateway.Served || a.Kind == gateway.Failed, a.Kind == gateway.Failed)
+		if a.Kind != gateway.Left {
+			f.deliver(key, l, f.ungone(a, fn.Class), &b)
+			return
+		}
+		next := registry.After(f.cfg.Effect(fn.Class), false, a.MayRun, times)
+		if a.Verdict != registry.Left {
+			next = registry.WithoutLease(f.cfg.Effect(fn.Class), false, a.MayRun)
+		}
+		f.mu.Lock()
+		gone := l.waiting == 0 // nobody waits any more: it does not begin anew
+		f.mu.Unlock()
+		switch {
+		case next == registry.Fail:
+			f.deliver(key, l, gateway.Answer{Kind: gateway.Failed, Verdict: a.Verdict}, nil)
+		case next == registry.Anew && !gone && final > f.cfg.Clock.Now():
+			f.Counts.Anew.Add(1)
+			call.Retry = false
+			f.bind(call, model, alias, final, times+1, key, l)
+		default:
+			f.deliver(key, l, gateway.Answer{Kind: gateway.Refused, Verdict: a.Verdict}, nil)
+		}
+	}
+	f.submit(&call, key, l)
 }
 
 // deliver ends a live call: its answer is kept, and all that wait for it are woken.
-func (f *Front) deliver(key replay.Key, l *live, a gateway.Answer) {
+func (f *Front) deliver(key replay.Key, l *live, a gateway.Answer, b *gateway.Bound) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if l.ended {
 		return
 	}
 	l.ended, l.answer = true, a
+	var tag any
+	if b != nil && a.Kind == gateway.Served {
+		l.bound, tag = b, b
+	}
 	if f.live[key] == l {
 		delete(f.live, key)
 	}
 	resp := answered(a)
-	f.guard.Ended(key, replay.Answer{Refused: a.Kind == gateway.Refused, Status: resp.Status, Type: resp.Header.Get("Content-Type"), Body: resp.Body})
+	f.guard.Ended(key, replay.Answer{Refused: a.Kind == gateway.Refused, Status: resp.Status, Type: resp.Header.Get("Content-Type"), Body: resp.Body, Tag: tag})
 	for _, c := range l.conns {
 		c.Wake()
 	}
@@ -369,9 +451,9 @@
 }
 
 // wait blocks until the call has its answer or this try's client has left. The last to leave hangs up.
-func (f *Front) wait(c *http1.Conn, key replay.Key, l *live) *http1.Response {
+func (f *Front) wait(c *http1.Conn, v verified, key replay.Key, l *live, class int) *http1.Response {
 	if !c.Await(l.done) {
-		return answered(l.answer)
+		return f.gated(v, key, l.bound, class, answered(l.answer))
 	}
 	f.mu.Lock()
 	l.waiting--
@@ -384,7 +466,44 @@
 	return nil
 }
 
+// gated has the answer of a version asked for at the door: it is checked once more as its first byte goes out, as the alias
+// may have left it since. What goes out instead is the one answer.
+func (f *Front) gated(v verified, key replay.Key, b *gateway.Bound, class int, resp *http1.Response) *http1.Response {
+	if b == nil {
+		return resp
+	}
+	resp.Header.Add("kitehub-version", b.Target.Version)
+	resp.Header.Add("kitehub-revision", strconv.FormatUint(b.Target.Revision, 10))
+	resp.Gate = func() (*http1.Response, time.Duration, func()) {
+		done, within, verdict := f.cfg.Models.Begin(*b)
+		if verdict == registry.May {
+			return nil, within, done
+		}
+		f.Counts.Withheld.Add(1)
+		if registry.WithoutLease(f.cfg.Effect(class), false, true) == registry.Fail {
+			return f.signed(v, answered(gateway.Answer{Kind: gateway.Failed, Verdict: verdict})), 0, nil
+		}
+		f.mu.Lock()
+		f.guard.Withdrawn(key) // a further try runs anew
+		f.mu.Unlock()
+		return f.signed(v, answered(gateway.Answer{Kind: gateway.Refused, Verdict: verdict})), 0, nil
+	}
+	return resp
+}
+
 func answered(a gateway.Answer) *http1.Response {
+	switch {
+	case a.Kind == gateway.Failed && a.Verdict == registry.Left:
+		return problem(502, "failed", "its version was replaced while it ran", nil)
+	case a.Kind == gateway.Failed && a.Verdict == registry.NoLease:
+		return problem(502, "failed", "it ran, and the registry was not heard: its version may have been replaced", nil)
+	case a.Kind == gateway.Refused && a.Verdict == registry.Left:
+		return refused("its version was replaced", a.After)
+	case a.Kind == gateway.Refused && a.Verdict == registry.NoLease:
+		return refused("the registry is not heard: which version is to answer is not known", a.After)
+	case a.Kind == gateway.Refused && a.Verdict == registry.Unknown:
+		return refused("the alias names no version", a.After)
+	}
 	switch a.Kind {
 	case gateway.Served:
 		return &http1.Response{Status: 200, Header: http1.Header{{Name: "Content-Type", Value: "application/json"}}, Body: a.Body}
--- a/gateway/functions.go
+++ b/gateway/functions.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"math"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +16,7 @@
 	Lanes    float64
 	LoadTime time.Duration
 	Most     int // names taken under a star
+	Versions bool
 }
 
 // Functions finds functions by name. Names under a star become known when they are first called, up to a bound:
@@ -23,8 +26,21 @@
 	mu    sync.RWMutex
 	known map[string]*Function
 	stars []star
+	// Versions of models in use, and how many are kept: beyond it the one used longest ago is forgotten.
+	versions map[versionKey]*version
+	most     int
+	uses     int64
 }
 
+type versionKey struct{ model, version string }
+
+type version struct {
+	Function
+	used atomic.Int64
+}
+
+const versionsKept = 1000
+
 type star struct {
 	Spec
 	taken int
@@ -32,7 +48,7 @@
 
 // NewFunctions makes the functions named by the specs known to the gateway.
 func NewFunctions(g *Gateway, specs []Spec) (*Functions, error) {
-	f := &Functions{g: g, known: map[string]*Function{}}
+	f := &Functions{g: g, known: map[string]*Function{}, versions: map[versionKey]*version{}, most: versionsKept}
 	for _, s := range specs {
 		if begin, ok := strings.CutSuffix(s.Name, "*"); ok {
 			s.Name = begin
@@ -47,15 +63,52 @@
 }
 
 func (f *Functions) add(name string, s Spec) (*Function, error) {
-	id, err := f.g.AddFunction(name)
-	if err != nil {
-		return nil, err
+	fn := &Function{Name: name, Class: s.Class, MemoryMB: s.MemoryMB, Lanes: s.Lanes, LoadTime: s.LoadTime, Versions: s.Versions}
+	if !s.Versions {
+		var err error
+		if fn.ID, err = f.g.AddFunction(name); err != nil {
+			return nil, err
+		}
 	}
-	fn := &Function{Name: name, ID: id, Class: s.Class, MemoryMB: s.MemoryMB, Lanes: s.Lanes, LoadTime: s.LoadTime}
 	f.known[name] = fn
 	return fn, nil
 }
 
+// Version returns a version of a model as a function of its own, named "model@version". All controllers name it alike, so
+// its home is the same for all.
+func (f *Functions) Version(model *Function, name, digest string) (*Function, error) {
+	k := versionKey{model.Name, name}
+	f.mu.RLock()
+	v := f.versions[k]
+	f.mu.RUnlock()
+	if v != nil && v.Digest == digest {
+		v.used.Store(atomic.AddInt64(&f.uses, 1))
+		return &v.Function, nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for len(f.versions) >= f.most {
+		var oldest versionKey
+		var at int64 = math.MaxInt64
+		for k, v := range f.versions {
+			if u := v.used.Load(); u < at {
+				oldest, at = k, u
+			}
+		}
+		f.g.dropVersion(f.versions[oldest].ID)
+		delete(f.versions, oldest)
+	}
+	v = &version{Function: *model}
+	v.Name, v.Digest, v.Versions = model.Name+"@"+name, digest, false
+	var err error
+	if v.ID, err = f.g.addVersion(v.Name, digest); err != nil {
+		return nil, err
+	}
+	v.used.Store(atomic.AddInt64(&f.uses, 1))
+	f.versions[k] = v
+	return &v.Function, nil
+}
+
 // Find returns the function of a name, or nil.
 func (f *Functions) Find(name string) *Function {
 	f.mu.RLock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"kitehub/backend"
 	"kitehub/choice"
 	"kitehub/internal/clock"
+	"kitehub/registry"
 )
 
 // A Carrier sends attempts, orders and questions to workers. backend.Backend is one.
@@ -54,10 +55,24 @@
 	Carrier  Carrier
 	Lister   Lister
 	Peers    Peers
+	Versions Versions // nil: no call is Bound
 	Log      zerolog.Logger
 	Quiet    bool // no closing line for each request
 }
 
+// Versions is what the registry says of the versions of models.
+type Versions interface {
+	MayAnswer(registry.Name, registry.Target) registry.Verdict
+	Stands(function, worker string, copies int)
+}
+
+// Bound is what a call of a model's alias was resolved to.
+type Bound struct {
+	Name   registry.Name
+	Target registry.Target
+	Times  int // that the call began anew before
+}
+
 // Kind is how a request ended.
 type Kind int
 
@@ -66,9 +81,12 @@
 	Refused      // trying again does no harm
 	Failed       // promises nothing
 	Gone         // the client left first
+	Left         // no answer: the alias has left the call's version, or may have; see Answer.Verdict
 )
 
-func (k Kind) String() string { return [...]string{"", "served", "refused", "failed", "gone"}[k] }
+func (k Kind) String() string {
+	return [...]string{"", "served", "refused", "failed", "gone", "left"}[k]
+}
 
 // An Answer is the final one of a request.
 type Answer struct {
@@ -76,14 +94,16 @@
 	Body  []byte        // where served
 	After time.Duration // where refused: advice for the next try, 0 for none
 	Late  bool          // where failed: the time was up, not the attempts
-	// MayRun tells, where the client is gone, that an attempt may have run.
-	MayRun bool
+	// MayRun tells, where the client is gone or the version left, that an attempt may have run.
+	MayRun  bool
+	Verdict registry.Verdict // where left: Left or NoLease
 }
 
 // A Call is what a front submits.
 type Call struct {
 	ID       string // for the log
 	Function *Function
+	Bound    *Bound // nil: the function has no versions
 	Tenant   int
 	Client   string
 	Body     []byte
@@ -98,7 +118,9 @@
 
 // Counts of what was answered, and of the loop.
 type Counts struct {
-	Served, Refused, Failed, Gone, Turned, Steps, Crashes atomic.Int64
+	Served, Refused, Failed, Gone, Left, Turned, Steps, Crashes atomic.Int64
+	// Mismatched counts answers of workers that ran other bytes than they were asked to: none is handed out.
+	Mismatched atomic.Int64
 	// StepNanos is the time spent in the module, LateNanos the longest that a step came after its time.
 	StepNanos, LateNanos atomic.Int64
 }
@@ -119,6 +141,7 @@
 	points  []backend.Endpoint
 	names   names
 	stopped bool
+	moved   bool // aliases have moved: see Sweep
 
 	wake chan struct{}
 	halt chan struct{}
@@ -198,7 +221,8 @@
 	}
 	g.calls[id] = c
 	g.in = append(g.in, choice.Arrival{Request: id, Class: f.Class, Tenant: c.Tenant, Function: f.ID, Expires: c.Expires,
-		Hint: c.Hint, HasHint: c.Hint > 0, MemoryMB: f.MemoryMB, Lanes: f.Lanes, LoadTime: f.LoadTime, Retry: c.Retry})
+		Hint: c.Hint, HasHint: c.Hint > 0, MemoryMB: f.MemoryMB, Lanes: f.Lanes, LoadTime: f.LoadTime, Retry: c.Retry,
+		Again: c.Bound != nil && c.Bound.Times > 0})
 	g.mu.Unlock()
 	g.poke()
 	return id, true
@@ -292,6 +316,13 @@
 			g.cfg.Log.Info().Int("workers", len(e.Workers)).Uint32("version", e.Version).Int("kind", int(e.Kind)).Msg("list")
 		}
 	}
+	g.mu.Lock()
+	moved := g.moved
+	g.moved = false
+	g.mu.Unlock()
+	if moved {
+		events = append(events, g.sweep(now)...)
+	}
 	g.timer = 0
 	for _, w := range g.tokens {
 		if w.At <= now {
@@ -363,8 +394,8 @@
 	t := &r.tries[e.Attempt]
 	t.outcome, t.took, t.status, t.run = e.Outcome, e.Took, res.Status, nil
 	r.out--
-	if e.Outcome == choice.OK && Kind(r.claimed.Load()) == Served && !r.noted {
-		g.note(e.Request, r, Answer{Kind: Served}, now)
+	if k := Kind(r.claimed.Load()); e.Outcome == choice.OK && (k == Served || k == Left) && !r.noted {
+		g.note(e.Request, r, Answer{Kind: k}, now)
 	}
 	if r.noted && r.out == 0 {
 		delete(g.table, e.Request)
@@ -373,9 +404,7 @@
 
 // answer gives the final answer of a request that the loop has claimed.
 func (g *Gateway) answer(id choice.RequestID, r *entry, a Answer, now time.Duration) {
-	a.MayRun = slices.ContainsFunc(r.tries, func(t try) bool {
-		return t.outcome != choice.Full && t.outcome != choice.ConnectFailed && t.outcome != choice.Moot && t.outcome != choice.Miss
-	})
+	a.MayRun = r.mayHaveRun()
 	r.call.Deliver(a)
 	g.note(id, r, a, now)
 }
@@ -393,6 +422,8 @@
 		g.Counts.Failed.Add(1)
 	case Gone:
 		g.Counts.Gone.Add(1)
+	case Left:
+		g.Counts.Left.Add(1)
 	}
 	g.closing(id, r, a, now)
 	r.call = nil // the body goes; attempts out may stay a while
@@ -422,7 +453,7 @@
 	case choice.Hold:
 		g.hold(a)
 	case choice.Unload:
-		if name, ok := g.functionName(a.Function); ok {
+		if name, _, ok := g.functionName(a.Function); ok {
 			g.cfg.Carrier.Unload(a.Worker, name)
 		}
 	case choice.Probe:
@@ -473,20 +504,41 @@
 		r.out++
 		return
 	}
+	if v := g.verdict(r.call); v != registry.May { // nothing of it goes out
+		n := len(r.tries)
+		r.tries = append(r.tries, try{worker: g.workerName(a.Worker), sent: now, outcome: choice.Moot})
+		g.put(choice.Returned{Request: a.Request, Attempt: n, Worker: a.Worker, Outcome: choice.Moot})
+		r.out++
+		if g.leave(a.Request, r, v, now) {
+			g.put(choice.HungUp{Request: a.Request})
+		}
+		return
+	}
 	n, worker, call := len(r.tries), a.Worker, r.call
 	t := try{worker: g.workerName(worker), sent: now}
 	r.out++
 	at := backend.Attempt{Worker: worker, Function: r.call.Function.Name, Trace: traceparent(r.call.Trace, g.rng.Uint64()),
-		Key: r.call.Key, Body: r.call.Body, Within: a.Timeout, Wanted: func() bool { return r.claimed.Load() == 0 }}
+		Key: r.call.Key, Digest: r.call.Function.Digest, Body: r.call.Body, Within: a.Timeout, Wanted: func() bool { return r.claimed.Load() == 0 }}
 	t.run = g.cfg.Carrier.Send(at, func(res backend.Result) {
 		// A served answer goes out here, not a tick later: by this very event the module ends the request, and
 		// whoever claims it first, this or the loop, gives the one answer.
 		// With no other request in hand there is nothing to decide by it: it is taken in with the next step, which
 		// the module's Wake brings at the latest.
 		idle := false
-		if res.Outcome == choice.OK && r.claim(Served) {
-			call.Deliver(Answer{Kind: Served, Body: res.Body})
-			idle = g.open.Load() == 1
+		if want := call.Function.Digest; want != "" && res.Outcome == choice.OK && res.Digest != want {
+			g.Counts.Mismatched.Add(1)
+			g.cfg.Log.Error().Str("worker", g.workerName(worker)).Str("function", call.Function.Name).Str("wanted", want).Str("ran", res.Digest).Msg("other bytes ran: the answer is dropped")
+			res.Outcome = choice.Error
+		}
+		if res.Outcome == choice.OK {
+			if v := g.verdict(call); v != registry.May {
+				if r.claim(Left) {
+					call.Deliver(Answer{Kind: Left, Verdict: v, MayRun: true})
+				}
+			} else if r.claim(Served) {
+				call.Deliver(Answer{Kind: Served, Body: res.Body})
+				idle = g.open.Load() == 1
+			}
 		}
 		res.Body = nil
 		e := choice.Returned{Request: a.Request, Attempt: n, Worker: worker, Outcome: res.Outcome, Took: res.Took,
@@ -503,14 +555,74 @@
 	r.tries = append(r.tries, t)
 }
 
+func (g *Gateway) verdict(c *Call) registry.Verdict {
+	if c.Bound == nil || g.cfg.Versions == nil {
+		return registry.May
+	}
+	return g.cfg.Versions.MayAnswer(c.Bound.Name, c.Bound.Target)
+}
+
+// mayHaveRun tells whether an attempt of a request may have run, or may yet.
+func (r *entry) mayHaveRun() bool {
+	return slices.ContainsFunc(r.tries, func(t try) bool {
+		return t.outcome != choice.Full && t.outcome != choice.ConnectFailed && t.outcome != choice.Moot && t.outcome != choice.Miss
+	})
+}
+
+// leave takes a request whose version was left, or may have been, from the module and hands it back to its front, if what
+// is out needs not be waited for. What is out is withdrawn.
+func (g *Gateway) leave(id choice.RequestID, r *entry, v registry.Verdict, now time.Duration) bool {
+	effect, mayHaveRun := g.cfg.Settings.Classes[r.call.Function.Class].Effect, r.mayHaveRun()
+	out := slices.ContainsFunc(r.tries, func(t try) bool { return t.run != nil })
+	next := registry.After(effect, out, mayHaveRun, r.call.Bound.Times)
+	if v != registry.Left {
+		next = registry.WithoutLease(effect, out, mayHaveRun)
+	}
+	if next == registry.Wait || !r.claim(Left) {
+		return false
+	}
+	for i := range r.tries {
+		if run := r.tries[i].run; run != nil {
+			run.Cancel()
+		}
+	}
+	g.answer(id, r, Answer{Kind: Left, Verdict: v}, now)
+	return true
+}
+
+// Sweep looks for calls whose version was left while they wait. It is called when aliases have moved.
+func (g *Gateway) Sweep() {
+	g.mu.Lock()
+	g.moved = true
+	g.mu.Unlock()
+	g.poke()
+}
+
+// sweep hands back the calls that have been left, and returns what the module is to be told.
+func (g *Gateway) sweep(now time.Duration) (events []choice.Event) {
+	for _, id := range sortedKeys(g.table) {
+		r := g.table[id]
+		if r.noted || r.claimed.Load() != 0 {
+			continue
+		}
+		if v := g.verdict(r.call); v == registry.Left && g.leave(id, r, v, now) {
+			events = append(events, choice.HungUp{Request: id})
+		}
+	}
+	return events
+}
+
 func (g *Gateway) hold(a choice.Hold) {
-	name, ok := g.functionName(a.Function)
+	name, digest, ok := g.functionName(a.Function)
 	if !ok {
 		g.put(choice.Held{Worker: a.Worker, Function: a.Function, Outcome: choice.Moot})
 		return
 	}
-	g.cfg.Carrier.Hold(backend.Order{Worker: a.Worker, Function: name, Copies: a.Copies},
+	g.cfg.Carrier.Hold(backend.Order{Worker: a.Worker, Function: name, Digest: digest, Copies: a.Copies},
 		func(o choice.Outcome, copies int, took time.Duration) {
+			if digest != "" && o == choice.OK && g.cfg.Versions != nil {
+				g.cfg.Versions.Stands(name, g.workerName(a.Worker), copies)
+			}
 			g.put(choice.Held{Worker: a.Worker, Function: a.Function, Outcome: o, Took: took, Copies: copies})
 		})
 }
@@ -548,8 +660,8 @@
 		}
 		if r.claim(k) {
 			g.answer(id, r, Answer{Kind: k}, now)
-		} else if !r.noted { // served, and its event was not taken in
-			g.note(id, r, Answer{Kind: Served}, now)
+		} else if !r.noted { // answered, and its event was not taken in
+			g.note(id, r, Answer{Kind: Kind(r.claimed.Load())}, now)
 		}
 	}
 }
--- a/gateway/names.go
+++ b/gateway/names.go
@@ -17,6 +17,8 @@
 // A Function is what calls name.
 type Function struct {
 	Name     string
+	Digest   string // of the bytes, where the registry names them
+	Versions bool   // it names a model: its versions are called, not it
 	ID       choice.FunctionID
 	Class    int
 	MemoryMB float64
@@ -46,6 +48,7 @@
 // names maps what the list and the configuration name to the module's numbers. It is guarded by Gateway.mu.
 type names struct {
 	functions map[choice.FunctionID]string
+	digests   map[choice.FunctionID]string // of those that the registry names
 	workers   map[choice.WorkerID]Worker
 	ids       map[string]int // zones, groups and kinds seen, each with its kind of name in front
 	settings  choice.Settings
@@ -54,7 +57,7 @@
 }
 
 func newNames(s choice.Settings) names {
-	n := names{functions: map[choice.FunctionID]string{}, workers: map[choice.WorkerID]Worker{}, ids: map[string]int{}, settings: s}
+	n := names{functions: map[choice.FunctionID]string{}, digests: map[choice.FunctionID]string{}, workers: map[choice.WorkerID]Worker{}, ids: map[string]int{}, settings: s}
 	for i, z := range s.Zones {
 		n.ids["zone "+z] = i
 	}
@@ -87,11 +90,35 @@
 	return id, nil
 }
 
-func (g *Gateway) functionName(id choice.FunctionID) (string, bool) {
+func (g *Gateway) functionName(id choice.FunctionID) (name, digest string, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	name, ok := g.names.functions[id]
-	return name, ok
+	name, ok = g.names.functions[id]
+	return name, g.names.digests[id], ok
+}
+
+// addVersion makes a version of a model known.
+func (g *Gateway) addVersion(name, digest string) (choice.FunctionID, error) {
+	id, err := g.AddFunction(name)
+	if err == nil {
+		g.mu.Lock()
+		g.names.digests[id] = digest
+		g.mu.Unlock()
+	}
+	return id, err
+}
+
+// dropVersion forgets one. Orders that the module still makes for it are not sent.
+func (g *Gateway) dropVersion(id choice.FunctionID) {
+	g.mu.Lock()
+	delete(g.names.functions, id)
+	delete(g.names.digests, id)
+	g.mu.Unlock()
+}
+
+// Stage says that copies of a function are wanted before it is called.
+func (g *Gateway) Stage(f *Function, copies int) {
+	g.put(choice.Staged{Function: f.ID, Copies: copies})
 }
 
 func (g *Gateway) workerName(id choice.WorkerID) string {
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -124,6 +124,9 @@
 	Header Header
 	Body   []byte
 	Close  bool // the connection ends after this exchange
+	// Gate, where set, is asked by a server just before the first byte goes out: what to write instead (nil: this),
+	// how long the writing may take (0: Limits.Write) and what to call when it has ended.
+	Gate func() (instead *Response, within time.Duration, done func())
 }
 
 var reasons = map[int]string{100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 206: "Partial Content",
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -193,12 +193,28 @@
 	if resp == nil {
 		return false
 	}
+	within, written := c.l.Write, (func())(nil)
+	if resp.Gate != nil {
+		instead, most, done := resp.Gate()
+		written = done
+		if instead != nil {
+			resp = instead
+		}
+		if most > 0 {
+			within = min(within, most)
+		}
+	}
 	resp.Close = resp.Close || req.Close || c.s.stopping()
 	c.out = AppendResponse(c.out[:0], resp, req.Method == "HEAD")
 	if cap(c.out) > 16*ReadBuffer { // a rare large answer must not stay with an idle connection
 		defer func() { c.out = nil }()
 	}
-	if c.write(c.out) != nil {
+	c.SetWriteDeadline(time.Now().Add(within))
+	_, err = c.Conn.Write(c.out)
+	if written != nil {
+		written()
+	}
+	if err != nil {
 		return false
 	}
 	if resp.Close {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -35,6 +35,7 @@
 	Fell           Kind = "fell"
 	Told           Kind = "told"
 	Trouble        Kind = "trouble"
+	Moved          Kind = "moved" // a move of an alias was acknowledged: Function is it, Revision the new one
 	Stall          Kind = "stall" // the machine ran nothing of the rig from At to Until
 )
 
@@ -79,6 +80,8 @@
 	Copies     int           `json:"copies,omitempty"`
 	Capacity   float64       `json:"capacity,omitempty"` // cores times speed, warm
 	Cold       bool          `json:"cold,omitempty"`
+	Digest     string        `json:"digest,omitempty"`   // of the bytes that ran
+	Revision   uint64        `json:"revision,omitempty"` // of the alias, as an answer or a move tells
 	Rules      *Rules        `json:"rules,omitempty"`
 	Note       string        `json:"note,omitempty"`
 }
--- a/registry/agent/agent.go
+++ b/registry/agent/agent.go
@@ -35,6 +35,8 @@
 	Moved func()
 	// Stage is told the versions of which copies are to stand, again and again until they do.
 	Stage func([]wire.Stage)
+	// Ready, where set, is called with the agent before it asks.
+	Ready func(*Agent)
 }
 
 // A Ticket is one answer that is being written.
@@ -102,6 +104,9 @@
 func Start(cfg Config) *Agent {
 	a := &Agent{cfg: cfg, stop: make(chan struct{}), uses: map[registry.Bytes]int{}, ended: map[registry.Bytes]wire.Ended{}, stands: map[stand]int{}}
 	a.now.Store(newGeneration(registry.View{}))
+	if cfg.Ready != nil {
+		cfg.Ready(a)
+	}
 	a.wg.Add(1)
 	go a.run()
 	return a
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -62,6 +62,7 @@
 	Status  int
 	Type    string
 	Body    []byte
+	Tag     any // what the answer depends on, for who gives it; the guard does not look at it
 }
 
 type entry struct {
@@ -184,6 +185,14 @@
 	e.answer = a
 }
 
+// Withdrawn says that a kept answer may not be given any more, and was never given; trying again does no harm.
+func (g *Guard) Withdrawn(k Key) {
+	if e := g.known[k]; e != nil && !e.running {
+		g.bytes -= len(e.answer.Body)
+		e.answer, e.dropped = Answer{Refused: true}, false
+	}
+}
+
 // forget drops what a message of its timestamp could no longer match, as it would be Stale.
 func (g *Guard) forget() {
 	for edge := g.clock - ceil(g.s.Past); g.swept < edge; {
--- /dev/null
+++ b/standin/blobs.go
@@ -0,0 +1,130 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+
+	"kitehub/internal/http1"
+)
+
+// A BlobFault is a way in which a stand-in store gives wrong bytes, or too few or many.
+type BlobFault int
+
+const (
+	GoodBlobs BlobFault = iota
+	Truncated           // its answer ends half way, every time at another byte
+	Swapped             // another blob of the same length
+	Extended            // a byte more, with a length that says so
+	Rotten              // one bit is turned, in the second half
+	NoBlobs             // 404
+	LongBlobs           // bytes behind those that its length tells of
+)
+
+// Blobs is a store that speaks the pull of blobs of the OCI distribution specification: GET /v2/<name>/blobs/<digest>, with
+// ranges. It is safe for concurrent use.
+type Blobs struct {
+	mu     sync.Mutex
+	blobs  map[string][]byte
+	fault  BlobFault
+	server *http1.Server
+	ln     net.Listener
+	served int
+	asked  int
+}
+
+// StartBlobs opens a store on a loopback port.
+func StartBlobs() (*Blobs, error) {
+	b := &Blobs{blobs: map[string][]byte{}}
+	var err error
+	if b.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	b.server = &http1.Server{Handler: http1.HandlerFunc(b.serve)}
+	go b.server.Serve(b.ln)
+	return b, nil
+}
+
+// Addr returns where it listens.
+func (b *Blobs) Addr() string { return b.ln.Addr().String() }
+
+// Put adds a blob under its digest.
+func (b *Blobs) Put(digest string, blob []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.blobs[digest] = blob
+}
+
+// Fault has the store fail from now on.
+func (b *Blobs) Fault(f BlobFault) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fault = f
+}
+
+// Asked returns how many requests came.
+func (b *Blobs) Asked() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.asked
+}
+
+// Close ends the store.
+func (b *Blobs) Close() {
+	b.ln.Close()
+	b.server.Cut()
+}
+
+func (b *Blobs) serve(c *http1.Conn, r *http1.Request) *http1.Response {
+	part := strings.Split(r.Path(), "/")
+	b.mu.Lock()
+	b.asked++
+	asked, fault := b.asked, b.fault
+	var blob []byte
+	ok := false
+	if len(part) >= 5 && part[1] == "v2" && part[len(part)-2] == "blobs" {
+		blob, ok = b.blobs[part[len(part)-1]]
+	}
+	b.mu.Unlock()
+	if !ok || fault == NoBlobs || r.Method != "GET" {
+		return &http1.Response{Status: 404, Header: http1.Header{{Name: "Content-Type", Value: "application/json"}},
+			Body: []byte(`{"errors":[{"code":"BLOB_UNKNOWN"}]}`)}
+	}
+	blob = append([]byte(nil), blob...)
+	switch fault {
+	case Swapped:
+		for i := range blob {
+			blob[i] ^= 0x55
+		}
+	case Extended:
+		blob = append(blob, 0)
+	case Rotten:
+		if len(blob) > 1 {
+			blob[len(blob)/2+len(blob)/4] ^= 1
+		}
+	}
+	size, from := len(blob), 0
+	resp := &http1.Response{Status: 200, Header: http1.Header{{Name: "Content-Type", Value: "application/octet-stream"}}}
+	if text, ok := strings.CutPrefix(r.Header.Get("Range"), "bytes="); ok && strings.HasSuffix(text, "-") {
+		n, err := strconv.Atoi(strings.TrimSuffix(text, "-"))
+		if err != nil || n >= size {
+			return &http1.Response{Status: 416}
+		}
+		from = n
+		resp.Status = 206
+		resp.Header.Add("Content-Range", fmt.Sprintf("bytes %d-%d/%d", n, size-1, size))
+	}
+	resp.Body = blob[from:]
+	whole := http1.AppendResponse(nil, resp, false)
+	switch fault {
+	case Truncated:
+		c.Write(whole[:len(whole)-len(resp.Body)+len(resp.Body)*(asked%3+1)/5])
+		return nil
+	case LongBlobs:
+		c.Write(append(whole, "more"...))
+		return nil
+	}
+	return resp
+}
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -26,6 +26,8 @@
 	Class string
 	Work  time.Duration // mean, on a core of speed 1
 	Keyed bool
+	// Versions says that Name is a model: functions "name@version" are loaded, from bytes fetched and proved.
+	Versions bool
 }
 
 // Config sets up a Host.
@@ -35,6 +37,8 @@
 	Clock     clock.Clock
 	Trace     *trace.Log
 	Limits    http1.Limits
+	// Fetch gets the bytes of a digest for a worker, proved; nil: functions have no versions.
+	Fetch func(worker, model, digest string) error
 }
 
 // A Fault is a way of answering wrongly. The call runs all the same.
@@ -63,7 +67,8 @@
 	nextID  uint64
 	waiting map[uint64]chan fleet.Effect
 	began   map[uint64]trace.Record
-	fails   map[string]bool // classes whose calls end in errors
+	fails   map[string]bool  // classes whose calls end in errors
+	made    map[string]*Kind // versions of models
 }
 
 // A site is one worker's socket.
@@ -77,17 +82,20 @@
 	ln     net.Listener
 	silent chan struct{} // closed when silence ends; nil: it speaks
 	fault  Fault
+	// The digests of the versions that are loaded, by name; a worker that Lies runs them whatever it is asked for.
+	loaded map[string]string
+	lies   bool
 }
 
 // Start opens a loopback listener for each worker.
 func Start(cfg Config) (*Host, error) {
 	h := &Host{cfg: cfg, kinds: map[string]*Kind{}, do: make(chan func(*fleet.Fleet), 256), end: make(chan struct{}),
-		waiting: map[uint64]chan fleet.Effect{}, began: map[uint64]trace.Record{}, fails: map[string]bool{}}
+		waiting: map[uint64]chan fleet.Effect{}, began: map[uint64]trace.Record{}, fails: map[string]bool{}, made: map[string]*Kind{}}
 	for i := range cfg.Functions {
 		h.kinds[cfg.Functions[i].Name] = &cfg.Functions[i]
 	}
 	for i, s := range cfg.Fleet.Workers {
-		w := &site{h: h, index: i, name: s.Name}
+		w := &site{h: h, index: i, name: s.Name, loaded: map[string]string{}}
 		if err := w.listen("127.0.0.1:0"); err != nil {
 			h.Close()
 			return nil, err
@@ -229,6 +237,10 @@
 	}
 	w.Speak()
 	w.Fault(NoFault)
+	w.mu.Lock()
+	clear(w.loaded)
+	w.lies = false
+	w.mu.Unlock()
 	s := h.cfg.Fleet.Workers[w.index]
 	h.cfg.Trace.Add(trace.Record{Kind: trace.WorkerUp, Worker: name, Capacity: s.Cores * s.Speed, Cold: true})
 	if err := w.listen(w.addr); err != nil { // somebody took the port meanwhile
@@ -438,10 +450,11 @@
 }
 
 func (w *site) load(c *http1.Conn, r *http1.Request, name string) *http1.Response {
-	k := w.h.kinds[name]
+	k := w.h.kind(name)
 	var m struct {
 		Parameters struct {
-			Copies int `json:"copies"`
+			Copies int    `json:"copies"`
+			Digest string `json:"digest"`
 		} `json:"parameters"`
 	}
 	if k == nil || len(r.Body) > 0 && json.Unmarshal(r.Body, &m) != nil {
@@ -449,6 +462,9 @@
 	}
 	copies := max(1, m.Parameters.Copies)
 	w.h.cfg.Trace.Add(trace.Record{Kind: trace.Order, Worker: w.name, Controller: controller(r), Function: name, Copies: copies})
+	if k.Versions && w.proved(k, m.Parameters.Digest) == "" {
+		return w.reported(fault(500, "urn:kitehub:problem:load-failed"), nil, 0)
+	}
 	id, ch := w.h.ask()
 	w.h.Do(func(f *fleet.Fleet) { f.Hold(w.index, id, &k.Function, copies) })
 	e, ok := await(c, ch)
@@ -464,8 +480,62 @@
 	return w.reported(fault(500, "urn:kitehub:problem:load-failed"), nil, e.Copies)
 }
 
+// kind returns what a name is: a function, or a version of a model.
+func (h *Host) kind(name string) *Kind {
+	if k := h.kinds[name]; k != nil {
+		return k
+	}
+	model, _, ok := strings.Cut(name, "@")
+	k := h.kinds[model]
+	if !ok || k == nil || !k.Versions {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if v := h.made[name]; v != nil {
+		return v
+	}
+	v := *k
+	v.Name = name
+	h.made[name] = &v
+	return &v
+}
+
+// Lie has a worker hold a version under the name of another, and say nothing of it when asked to run it: as one that comes
+// back from silence with old bytes.
+func (h *Host) Lie(worker, name, digest string) {
+	w := h.site(worker)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loaded[name], w.lies = digest, true
+}
+
+// proved has the bytes of a version at the worker, and returns the digest of what will run; "" if it cannot be had.
+func (w *site) proved(k *Kind, digest string) string {
+	if !k.Versions {
+		return ""
+	}
+	w.mu.Lock()
+	have, lies := w.loaded[k.Name], w.lies
+	w.mu.Unlock()
+	if have != "" && (have == digest || lies) {
+		return have
+	}
+	model, _, _ := strings.Cut(k.Name, "@")
+	if digest == "" || w.h.cfg.Fetch == nil {
+		return ""
+	}
+	if err := w.h.cfg.Fetch(w.name, model, digest); err != nil {
+		return ""
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loaded[k.Name] = digest
+	return digest
+}
+
 func (w *site) infer(c *http1.Conn, r *http1.Request, name string) *http1.Response {
-	k := w.h.kinds[name]
+	k := w.h.kind(name)
 	tp := strings.Split(r.Header.Get(backend.HeaderTrace), "-")
 	if k == nil || len(tp) != 4 {
 		return fault(404, backend.ProblemMiss)
@@ -485,6 +555,16 @@
 	rec := trace.Record{Kind: trace.Got, Worker: w.name, Controller: controller(r), Request: tp[1], Attempt: tp[2],
 		Class: k.Class, Function: name, Key: r.Header.Get(backend.HeaderKey)}
 	w.h.cfg.Trace.Add(rec)
+	if k.Versions {
+		if rec.Digest = w.proved(k, r.Header.Get(backend.HeaderDigest)); rec.Digest == "" {
+			return w.reported(fault(404, backend.ProblemMiss), &fleet.Effect{Note: 4}, 0) // the load failed; nothing ran
+		}
+		w.mu.Lock()
+		if w.lies {
+			rec.Note = "lie" // on purpose: what is judged is that its answer goes nowhere
+		}
+		w.mu.Unlock()
+	}
 	id, ch := w.h.ask()
 	w.h.mu.Lock()
 	w.h.began[id] = rec
@@ -518,6 +598,9 @@
 			strconv.Itoa(len(body)) + `}}]}`
 		resp = &http1.Response{Status: 200, Header: http1.Header{{Name: "Content-Type", Value: "application/octet-stream"},
 			{Name: backend.HeaderJSONLength, Value: strconv.Itoa(len(head))}}, Body: append([]byte(head), body...)}
+		if rec.Digest != "" {
+			resp.Header.Add(backend.HeaderDigest, rec.Digest)
+		}
 	case fleet.Full:
 		resp = fault(503, backend.ProblemFull)
 	default:
--- a/store/dir.go
+++ b/store/dir.go
@@ -1,9 +1,11 @@
 package store
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 )
 
 // Dir is a folder of the machine. It must be there, and be used by one Log at a time.
@@ -65,3 +67,17 @@
 	defer f.Close()
 	return f.Sync()
 }
+
+// Lock takes a folder for this process. The lock ends with the process, however it ends: a kill leaves nothing that stops
+// the next start.
+func Lock(dir string) (unlock func() error, err error) {
+	f, err := os.OpenFile(filepath.Join(dir, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("%s is another process's: %w", dir, err)
+	}
+	return f.Close, nil
+}
