--- a/controller/controller.go
+++ b/controller/controller.go
@@ -37,6 +37,9 @@
 	// show that a gateway without a guard is caught.
 	Sink    func(discovery.Sink) discovery.Sink
 	Handler func(http1.Handler) http1.Handler
+	// Models and Versions stand before the registry's view, likewise.
+	Models   func(webhook.Models) webhook.Models
+	Versions func(gateway.Versions) gateway.Versions
 }
 
 // A Controller runs until Stop or Kill.
@@ -95,6 +98,9 @@
 	ms := &models{clock: o.Clock}
 	if b.Registry != "" {
 		gc.Versions = ms
+		if o.Versions != nil {
+			gc.Versions = o.Versions(ms)
+		}
 	}
 	if c.Gateway, err = gateway.New(gc); err != nil {
 		return err
@@ -109,6 +115,9 @@
 		c.agent = agent.Start(agent.Config{Client: &client.Client{Server: b.Registry, Name: b.Name, Key: b.Key, Wall: o.Clock.Wall,
 			Dial: c.tracked((&net.Dialer{}).DialContext)}, Node: b.Name, Clock: o.Clock, Log: o.Log, Moved: c.Gateway.Sweep, Stage: ms.stage, Ready: func(a *agent.Agent) { ms.agent = a }})
 		wc.Models = ms
+		if o.Models != nil {
+			wc.Models = o.Models(ms)
+		}
 	}
 	wc.Gateway, wc.Clock, wc.Log, wc.Mark, wc.Functions = c.Gateway, o.Clock, o.Log, webhook.File(b.Mark), functions.Find
 	wc.Deadline = func(class int) time.Duration { return b.Settings.Classes[class].Deadline }
--- a/day/guards_test.go
+++ b/day/guards_test.go
@@ -8,8 +8,10 @@
 	"kitehub/choice"
 	"kitehub/config"
 	"kitehub/discovery"
+	"kitehub/front/webhook"
 	"kitehub/gateway"
 	"kitehub/internal/http1"
+	"kitehub/registry"
 	"kitehub/rules"
 )
 
@@ -119,6 +121,55 @@
 	}
 }
 
+// trusting takes the check of versions out, as their answers come in and at the door.
+type trusting struct {
+	webhook.Models
+	gateway.Versions
+}
+
+func (trusting) MayAnswer(registry.Name, registry.Target) registry.Verdict { return registry.May }
+
+func (trusting) Begin(gateway.Bound) (func(), time.Duration, registry.Verdict) {
+	return func() {}, 0, registry.May
+}
+
+// An answer of a version that was left is found where nothing holds it back, and one of other bytes.
+func TestVersionGuardsRemoved(t *testing.T) {
+	tests := []struct {
+		name   string
+		script string
+		change func(*Day)
+	}{
+		{"left versions", "versions", func(d *Day) {
+			d.Versions.Copies, d.Troubles = 0, nil
+			for _, c := range d.Classes {
+				c.WorkMs, c.AimMs = 150, 1000
+			}
+			d.Rate = 60
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			play := func(o Options) *rules.VersionVerdict {
+				d := small(t, tt.script)
+				tt.change(d)
+				return playSmall(t, d, o).Versions
+			}
+			if v := play(Options{}); len(v.Breaks) > 0 || v.Answers == 0 {
+				t.Errorf("with the guard: %d answers, %d breaks: %v", v.Answers, len(v.Breaks), v.Breaks)
+			}
+			v := play(Options{Models: func(m webhook.Models) webhook.Models { return trusting{Models: m} },
+				Versions: func(g gateway.Versions) gateway.Versions { return trusting{Versions: g} }})
+			if len(v.Breaks) == 0 {
+				t.Errorf("without the guard no break was found in %d answers", v.Answers)
+			} else {
+				t.Logf("without the guard %d breaks in %d answers, first: %s", len(v.Breaks), v.Answers, v.Breaks[0].What)
+			}
+		})
+	}
+}
+
 func first(l []rules.Break) string {
 	if len(l) == 0 {
 		return ""
--- a/day/play.go
+++ b/day/play.go
@@ -23,6 +23,7 @@
 	"kitehub/controller"
 	"kitehub/discovery"
 	"kitehub/fleet"
+	"kitehub/front/webhook"
 	"kitehub/gateway"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
@@ -84,9 +85,11 @@
 	Progress io.Writer // nil: none
 	Log      zerolog.Logger
 	// Spoil, Sink and Handler take a guard out of the controllers, to show that this is caught.
-	Spoil   func(*config.Built)
-	Sink    func(discovery.Sink) discovery.Sink
-	Handler func(http1.Handler) http1.Handler
+	Spoil    func(*config.Built)
+	Sink     func(discovery.Sink) discovery.Sink
+	Handler  func(http1.Handler) http1.Handler
+	Models   func(webhook.Models) webhook.Models
+	Versions func(gateway.Versions) gateway.Versions
 }
 
 // A Result is what a day came to.
@@ -314,7 +317,7 @@
 		p.o.Spoil(b)
 	}
 	ctl, err := controller.Start(b, controller.Options{Clock: p.clk, Log: p.o.Log.With().Str("controller", b.Name).Logger(),
-		Dial: p.net.dialer(c.Zone), Sink: p.o.Sink, Handler: p.o.Handler})
+		Dial: p.net.dialer(c.Zone), Sink: p.o.Sink, Handler: p.o.Handler, Models: p.o.Models, Versions: p.o.Versions})
 	if err != nil {
 		return err
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -314,7 +314,7 @@
 	}
 	// The same bytes under two names are two versions; bytes that were condemned are condemned under every name.
 	v := p.Version
-	v.Phase, v.Since, v.Copies, v.Calls, v.Errors = Proposed, now, map[string]int{}, 0, 0
+	v.Phase, v.Since, v.Copies, v.Calls, v.Errors, v.Left = Proposed, now, map[string]int{}, 0, 0, 0
 	if _, bad := s.Condemned[v.Digest]; bad {
 		return nil, fmt.Errorf("digest: %s is condemned", v.Digest)
 	}
