A move waits for the calls that run: none is lost to it, answers of what was left end before it is acknowledged

Until a controller confirms an epoch no move of it is acknowledged, so what already runs under a target that was left may still be answered; what does not run begins anew under the new one. The confirmation waits for these calls, for settle_ms at most, and then for answers that are being written. Condemned bytes get no such time.

--- a/config/registry.go
+++ b/config/registry.go
@@ -26,7 +26,7 @@
 		return nil, err
 	}
 	b := &BuiltRegistry{Listen: c.Listen, Dir: c.StateDir, MaxOpen: int(c.MaxConnections), Past: c.PastMs,
-		Service: service.Config{Every: int(c.SnapshotEvery), Hold: ms(c.HoldMs), Settings: registry.Settings{Lease: ms(c.LeaseMs), Drift: c.Drift,
+		Service: service.Config{Every: int(c.SnapshotEvery), Hold: ms(c.HoldMs), Settings: registry.Settings{Lease: ms(c.LeaseMs), Drift: c.Drift, Settle: ms(c.SettleMs),
 			Staging: ms(c.StagingMs), Keep: ms(c.KeepMs), Watch: ms(c.WatchMs), Least: int(c.LeastCalls), Worse: c.Worse, Models: int(c.Models),
 			Versions: int(c.Versions), Aliases: int(c.Aliases), Asking: int(c.Controllers), Remembered: int(c.Remembered)}}}
 	if 3*c.HoldMs > c.LeaseMs {
--- a/controller/models.go
+++ b/controller/models.go
@@ -31,13 +31,13 @@
 		return nil, b, registry.Unknown
 	}
 	b.Target = t
-	m.agent.Use(registry.Bytes{Model: model.Name, Version: t.Version})
+	m.agent.Use(b.Name, t)
 	return fn, b, v
 }
 
 // Unbind implements webhook.Models.
 func (m *models) Unbind(b gateway.Bound, ran, failed bool) {
-	m.agent.Unuse(registry.Bytes{Model: b.Name.Model, Version: b.Target.Version}, ran, failed)
+	m.agent.Unuse(b.Name, b.Target, ran, failed)
 }
 
 // Begin implements webhook.Models.
--- a/day/versions.go
+++ b/day/versions.go
@@ -125,7 +125,7 @@
 func (v *versions) start(addr string) error {
 	lease := ms(v.s.LeaseMs)
 	s, _, err := service.Open(service.Config{Clock: v.p.clk, FS: store.Dir(v.dir), Log: v.p.o.Log, Every: 200, Hold: lease / 4,
-		Settings: registry.Settings{Lease: lease, Drift: 0.01, Staging: 2 * time.Second, Keep: 3 * time.Second, Watch: time.Second, Least: 200, Worse: 0.5,
+		Settings: registry.Settings{Lease: lease, Drift: 0.01, Settle: ms(v.s.SettleMs), Staging: 2 * time.Second, Keep: 3 * time.Second, Watch: time.Second, Least: 200, Worse: 0.5,
 			Models: 10000, Versions: 100, Aliases: 4, Asking: 100, Remembered: 100000}})
 	if err != nil {
 		return err
--- a/front/webhook/front.go
+++ b/front/webhook/front.go
@@ -108,6 +108,8 @@
 	conns   []*http1.Conn
 	answer  gateway.Answer
 	bound   *gateway.Bound // of the answer
+	holders int            // tries whose client has still to be written the answer, once it is there
+	release func()         // called when none has
 	ended   bool
 	started bool
 }
@@ -311,7 +313,7 @@
 	case replay.Kept:
 		f.Counts.Kept.Add(1)
 		b, _ := kept.Tag.(*gateway.Bound)
-		return f.gated(v, key, b, fn.Class, &http1.Response{Status: kept.Status, Header: http1.Header{{Name: "Content-Type", Value: kept.Type}}, Body: kept.Body})
+		return f.gated(v, key, b, fn.Class, &http1.Response{Status: kept.Status, Header: http1.Header{{Name: "Content-Type", Value: kept.Type}}, Body: kept.Body}, nil)
 	case replay.Lost:
 		return problem(502, "failed", "the call has ended; its answer was too large to keep", nil)
 	case replay.Replay:
@@ -401,13 +403,20 @@
 	b.Times = times
 	call.Function, call.Bound, call.Expires = fn, &b, final-f.cfg.Clock.Now()
 	call.Deliver = func(a gateway.Answer) {
-		f.cfg.Models.Unbind(b, a.Kind == gateway.Served || a.Kind == gateway.Failed, a.Kind == gateway.Failed)
+		unbind := func() {
+			f.cfg.Models.Unbind(b, a.Kind == gateway.Served || a.Kind == gateway.Failed, a.Kind == gateway.Failed)
+		}
+		if a.Kind == gateway.Served {
+			f.hold(l, unbind) // until it is written: a move waits for that
+		} else {
+			defer unbind()
+		}
 		if a.Kind != gateway.Left {
 			f.deliver(key, l, f.ungone(a, fn.Class), &b)
 			return
 		}
 		next := registry.After(f.cfg.Effect(fn.Class), false, a.MayRun, times)
-		if a.Verdict != registry.Left {
+		if a.Verdict == registry.NoLease {
 			next = registry.WithoutLease(f.cfg.Effect(fn.Class), false, a.MayRun)
 		}
 		f.mu.Lock()
@@ -427,6 +436,28 @@
 	f.submit(&call, key, l)
 }
 
+// hold has a function called when nobody is left to be written an answer that is about to be delivered.
+func (f *Front) hold(l *live, release func()) {
+	f.mu.Lock()
+	l.holders, l.release = l.waiting, release
+	none := l.holders == 0
+	f.mu.Unlock()
+	if none {
+		release()
+	}
+}
+
+// unhold says that one try has been written its answer, or has left.
+func (f *Front) unhold(l *live) {
+	f.mu.Lock()
+	l.holders--
+	last := l.holders == 0
+	f.mu.Unlock()
+	if last {
+		l.release()
+	}
+}
+
 // deliver ends a live call: its answer is kept, and all that wait for it are woken.
 func (f *Front) deliver(key replay.Key, l *live, a gateway.Answer, b *gateway.Bound) {
 	f.mu.Lock()
@@ -453,13 +484,17 @@
 // wait blocks until the call has its answer or this try's client has left. The last to leave hangs up.
 func (f *Front) wait(c *http1.Conn, v verified, key replay.Key, l *live, class int) *http1.Response {
 	if !c.Await(l.done) {
-		return f.gated(v, key, l.bound, class, answered(l.answer))
+		return f.gated(v, key, l.bound, class, answered(l.answer), l)
 	}
 	f.mu.Lock()
+	held := l.release != nil // it left as its answer came
 	l.waiting--
 	last := l.waiting == 0 && !l.ended // the gateway says what became of it: until then a retry joins it
 	id, started := l.id, l.started
 	f.mu.Unlock()
+	if held {
+		f.unhold(l)
+	}
 	if last && started {
 		f.cfg.Gateway.HangUp(id)
 	}
@@ -468,7 +503,7 @@
 
 // gated has the answer of a version asked for at the door: it is checked once more as its first byte goes out, as the alias
 // may have left it since. What goes out instead is the one answer.
-func (f *Front) gated(v verified, key replay.Key, b *gateway.Bound, class int, resp *http1.Response) *http1.Response {
+func (f *Front) gated(v verified, key replay.Key, b *gateway.Bound, class int, resp *http1.Response, l *live) *http1.Response {
 	if b == nil {
 		return resp
 	}
@@ -477,7 +512,15 @@
 	resp.Gate = func() (*http1.Response, time.Duration, func()) {
 		done, within, verdict := f.cfg.Models.Begin(*b)
 		if verdict == registry.May {
-			return nil, within, done
+			return nil, within, func() {
+				done()
+				if l != nil {
+					f.unhold(l)
+				}
+			}
+		}
+		if l != nil {
+			f.unhold(l)
 		}
 		f.Counts.Withheld.Add(1)
 		if registry.WithoutLease(f.cfg.Effect(class), false, true) == registry.Fail {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -504,7 +504,11 @@
 		r.out++
 		return
 	}
-	if v := g.verdict(r.call); v != registry.May { // nothing of it goes out
+	v := g.verdict(r.call)
+	if v == registry.Leaving && (r.mayHaveRun() || r.call.Bound.Times >= registry.MostAnew) {
+		v = registry.May // it goes on under what it began with
+	}
+	if v != registry.May { // nothing of it goes out
 		n := len(r.tries)
 		r.tries = append(r.tries, try{worker: g.workerName(a.Worker), sent: now, outcome: choice.Moot})
 		g.put(choice.Returned{Request: a.Request, Attempt: n, Worker: a.Worker, Outcome: choice.Moot})
@@ -531,7 +535,7 @@
 			res.Outcome = choice.Error
 		}
 		if res.Outcome == choice.OK {
-			if v := g.verdict(call); v != registry.May {
+			if v := g.verdict(call); v != registry.May && v != registry.Leaving {
 				if r.claim(Left) {
 					call.Deliver(Answer{Kind: Left, Verdict: v, MayRun: true})
 				}
@@ -575,7 +579,7 @@
 	effect, mayHaveRun := g.cfg.Settings.Classes[r.call.Function.Class].Effect, r.mayHaveRun()
 	out := slices.ContainsFunc(r.tries, func(t try) bool { return t.run != nil })
 	next := registry.After(effect, out, mayHaveRun, r.call.Bound.Times)
-	if v != registry.Left {
+	if v == registry.NoLease {
 		next = registry.WithoutLease(effect, out, mayHaveRun)
 	}
 	if next == registry.Wait || !r.claim(Left) {
@@ -605,7 +609,10 @@
 		if r.noted || r.claimed.Load() != 0 {
 			continue
 		}
-		if v := g.verdict(r.call); v == registry.Left && g.leave(id, r, v, now) {
+		v := g.verdict(r.call)
+		// While the move is not acknowledged, what runs goes on, and what does not run begins anew.
+		leave := v == registry.Left || v == registry.Leaving && !r.mayHaveRun() && r.out == 0 && r.call.Bound.Times < registry.MostAnew
+		if leave && g.leave(id, r, v, now) {
 			events = append(events, choice.HungUp{Request: id})
 		}
 	}
--- a/registry/agent/agent.go
+++ b/registry/agent/agent.go
@@ -86,12 +86,18 @@
 	Lost, Nacks atomic.Int64
 
 	mu     sync.Mutex
-	uses   map[registry.Bytes]int
+	uses   map[use]int
+	freed  chan struct{} // a use of a target has ended that was the last
 	ended  map[registry.Bytes]wire.Ended
 	staged []wire.Stage
 	stands map[stand]int // told by answers; those that are staged go to the registry
 }
 
+type use struct {
+	registry.Name
+	registry.Target
+}
+
 type stand struct{ model, version, worker string }
 
 func newGeneration(v registry.View) *generation {
@@ -102,7 +108,7 @@
 
 // Start begins to ask. Until the first answer nothing resolves.
 func Start(cfg Config) *Agent {
-	a := &Agent{cfg: cfg, stop: make(chan struct{}), uses: map[registry.Bytes]int{}, ended: map[registry.Bytes]wire.Ended{}, stands: map[stand]int{}}
+	a := &Agent{cfg: cfg, stop: make(chan struct{}), uses: map[use]int{}, freed: make(chan struct{}, 1), ended: map[registry.Bytes]wire.Ended{}, stands: map[stand]int{}}
 	a.now.Store(newGeneration(registry.View{}))
 	if cfg.Ready != nil {
 		cfg.Ready(a)
@@ -138,15 +144,15 @@
 			continue // a newer one is there
 		}
 		v := g.view.MayAnswer(a.cfg.Clock.Now(), n, t)
-		if v != registry.May {
+		if v != registry.May && v != registry.Leaving {
 			g.release()
 			return Ticket{}, 0, v
 		}
 		until := g.view.Until()
-		if g.view.Stale(n.Model) {
+		if v == registry.May && g.view.Stale(n.Model) {
 			until = 0
 		}
-		return Ticket{g}, until, v
+		return Ticket{g}, until, registry.May
 	}
 }
 
@@ -154,20 +160,26 @@
 func (a *Agent) End(t Ticket) { t.g.release() }
 
 // Use and Unuse count the running calls of a version, so that the registry does not collect it.
-func (a *Agent) Use(b registry.Bytes) {
+func (a *Agent) Use(n registry.Name, t registry.Target) {
 	a.mu.Lock()
-	a.uses[b]++
+	a.uses[use{n, t}]++
 	a.mu.Unlock()
 }
 
 // Unuse takes one back; ran and failed say whether the call was answered by a worker, and in an error.
-func (a *Agent) Unuse(b registry.Bytes, ran, failed bool) {
+func (a *Agent) Unuse(n registry.Name, t registry.Target, ran, failed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.uses[b]--; a.uses[b] <= 0 {
-		delete(a.uses, b)
+	u := use{n, t}
+	if a.uses[u]--; a.uses[u] <= 0 {
+		delete(a.uses, u)
+		select {
+		case a.freed <- struct{}{}:
+		default:
+		}
 	}
 	if ran {
+		b := registry.Bytes{Model: n.Model, Version: t.Version}
 		e := a.ended[b]
 		e.Model, e.Version, e.Calls = b.Model, b.Version, e.Calls+1
 		if failed {
@@ -198,8 +210,8 @@
 	defer a.wg.Done()
 	confirmed, nonce, failures := uint64(0), "", 0
 	var nack *wire.ErrorDetail
-	lease := firstWait
-	var older []*generation // views whose writes may go on
+	lease, settling := firstWait, time.Duration(0) // when what is leaving is given up
+	var older []*generation                        // views whose writes may go on
 	for {
 		select {
 		case <-a.stop:
@@ -255,37 +267,72 @@
 			a.cfg.Moved()
 		}
 		a.stage(resp.Stage)
-		// Writes under views of older epochs may go on. The lease is renewed meanwhile, under the epoch that they are of.
-		var timer *time.Timer
-		for confirmed < next.Epoch() {
+		// Calls may go on to their answers under what was left, for a while, and writes under older views. Until all have
+		// ended the lease is renewed under the epoch that they are of.
+		if len(next.Leaving()) == 0 {
+			settling = 0
+		} else if settling == 0 {
+			settling = a.cfg.Clock.Now() + next.SettleWithin()
+		}
+		pause := time.NewTimer(lease / renewPart)
+		for late := false; confirmed < next.Epoch() && !late; {
+			if len(next.Leaving()) > 0 {
+				if left := settling - a.cfg.Clock.Now(); a.used(next.Leaving()) && left > 0 {
+					settle := time.NewTimer(left)
+					select {
+					case <-a.freed:
+					case <-settle.C:
+					case <-pause.C:
+						late = true
+					case <-a.stop:
+						late = true
+					}
+					settle.Stop()
+					continue
+				}
+				old := g
+				next, settling = next.Settled(), 0
+				g = newGeneration(next)
+				a.now.Store(g)
+				old.release()
+				older = append(older, old)
+				if a.cfg.Moved != nil {
+					a.cfg.Moved() // what is still under way is told now
+				}
+			}
 			older = slices.DeleteFunc(older, (*generation).isIdle)
-			i := slices.IndexFunc(older, func(o *generation) bool { return o.view.Epoch() < next.Epoch() })
+			i := slices.IndexFunc(older, func(o *generation) bool { return o.view.Epoch() < next.Epoch() || len(o.view.Leaving()) > 0 })
 			if i < 0 {
 				confirmed = next.Epoch()
 				break
 			}
-			if timer == nil {
-				timer = time.NewTimer(lease / renewPart)
-			}
-			late := false
 			select {
 			case <-older[i].idle:
-			case <-timer.C:
+			case <-pause.C:
 				late = true
 			case <-a.stop:
 				late = true
 			}
-			if late {
-				break
-			}
-		}
-		if timer != nil {
-			timer.Stop()
 		}
+		pause.Stop()
 		older = slices.DeleteFunc(older, (*generation).isIdle)
 	}
 }
 
+// used tells whether a call runs under one of the targets.
+func (a *Agent) used(l map[registry.Name][]registry.Target) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for n, targets := range l {
+		for _, t := range targets {
+			if a.uses[use{n, t}] > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (a *Agent) sleep(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -300,8 +347,10 @@
 		ResponseNonce: nonce, ErrorDetail: nack}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for b := range a.uses {
-		q.Uses = append(q.Uses, b)
+	for u := range a.uses {
+		if b := (registry.Bytes{Model: u.Model, Version: u.Version}); !slices.Contains(q.Uses, b) && a.now.Load().view.MayAnswer(0, u.Name, u.Target) != registry.May {
+			q.Uses = append(q.Uses, b)
+		}
 	}
 	for _, e := range a.ended {
 		q.Ended = append(q.Ended, e)
@@ -352,7 +401,7 @@
 
 // read checks a response. An error is one of its content: it is not to be asked again as if it were lost.
 func read(r *wire.Response) (registry.Told, error) {
-	t := registry.Told{Since: r.Since, Targets: map[registry.Name]registry.Target{}, Lease: time.Duration(r.LeaseMS * float64(time.Millisecond))}
+	t := registry.Told{Since: r.Since, Barred: r.Barred, Settle: time.Duration(r.SettleMS * float64(time.Millisecond)), Targets: map[registry.Name]registry.Target{}, Lease: time.Duration(r.LeaseMS * float64(time.Millisecond))}
 	var err error
 	if t.Epoch, err = strconv.ParseUint(r.VersionInfo, 10, 64); err != nil {
 		return t, fmt.Errorf("version_info: %q is no epoch", r.VersionInfo)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -23,6 +23,7 @@
 type Settings struct {
 	Lease      time.Duration // how long a controller may answer after it asked, by its own clock
 	Drift      float64       // greatest difference between the rates of two clocks, as a part
+	Settle     time.Duration // how long running calls may hold up a move before they are given up
 	Staging    time.Duration // how long copies may take to stand before a move is given up
 	Keep       time.Duration // how long the copies of a version that was left are kept for a move back
 	Watch      time.Duration // how long a move is watched for errors
@@ -191,7 +192,7 @@
 	for _, f := range []struct {
 		name string
 		v    float64
-	}{{"Lease", float64(s.Lease)}, {"Staging", float64(s.Staging)}, {"Keep", float64(s.Keep)}, {"Watch", float64(s.Watch)}, {"Least", float64(s.Least)},
+	}{{"Lease", float64(s.Lease)}, {"Settle", float64(s.Settle)}, {"Staging", float64(s.Staging)}, {"Keep", float64(s.Keep)}, {"Watch", float64(s.Watch)}, {"Least", float64(s.Least)},
 		{"Worse", s.Worse}, {"Models", float64(s.Models)}, {"Versions", float64(s.Versions)}, {"Aliases", float64(s.Aliases)}, {"Asking", float64(s.Asking)}, {"Remembered", float64(s.Remembered)}} {
 		if !(f.v > 0) {
 			return nil, fmt.Errorf("registry: settings: %s: %v is not above 0", f.name, f.v)
@@ -427,6 +428,8 @@
 		return nil, fmt.Errorf("digest: %d are condemned, which is all that are remembered", len(s.Condemned))
 	}
 	s.Condemned[bad] = c.Why
+	s.Epoch++ // also where no alias names it: calls may still run under it
+	out = append(out, Published{s.Epoch})
 	s.note(now, c.By, "condemn "+c.Model+" "+c.Version+" "+bad, c.Why)
 	for _, m := range sorted(s.Models) {
 		for _, v := range sorted(m.Versions) {
--- a/registry/service/http.go
+++ b/registry/service/http.go
@@ -324,7 +324,7 @@
 		}
 		told := s.state.Tell(since)
 		a := wire.Response{VersionInfo: strconv.FormatUint(told.Epoch, 10), TypeURL: wire.TypeAlias, Since: told.Since,
-			LeaseMS: float64(told.Lease) / float64(time.Millisecond), Stage: f.stage(who.Name)}
+			LeaseMS: float64(told.Lease) / float64(time.Millisecond), SettleMS: float64(told.Settle) / float64(time.Millisecond), Barred: told.Barred, Stage: f.stage(who.Name)}
 		for m := range told.Stale {
 			a.Stale = append(a.Stale, m)
 		}
--- a/registry/view.go
+++ b/registry/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"kitehub/choice"
@@ -24,7 +25,9 @@
 	Since   uint64 // 0: all are told, and what is not told is no alias
 	Targets map[Name]Target
 	Stale   map[string]bool // all models for which an answer without a lease is better than none
+	Barred  []string        // digests that are condemned
 	Lease   time.Duration
+	Settle  time.Duration // how long calls that run under a target that was left may go on to their answer
 }
 
 // Tell returns what a controller is to know now that holds an epoch; 0: nothing. An alias that names no version is told
@@ -33,7 +36,8 @@
 	if since > s.Epoch {
 		since = 0
 	}
-	t := Told{Epoch: s.Epoch, Since: since, Targets: map[Name]Target{}, Lease: s.Settings.Lease}
+	t := Told{Epoch: s.Epoch, Since: since, Targets: map[Name]Target{}, Lease: s.Settings.Lease, Settle: s.Settings.Settle}
+	t.Barred = slices.Sorted(maps.Keys(s.Condemned))
 	for _, m := range s.Models {
 		if m.Stale {
 			if t.Stale == nil {
@@ -59,6 +63,9 @@
 type View struct {
 	told  Told
 	until time.Duration // by the controller's own clock
+	// leaving are targets that were left by moves which this controller has not confirmed: no such move is acknowledged
+	// yet, so calls that run under them may still be answered, but no new ones begin. It is never changed in place.
+	leaving map[Name][]Target
 }
 
 // Learn takes in what the registry told and tells whether it fits. asked is when the controller asked, by its own clock:
@@ -76,6 +83,24 @@
 		}
 		t.Targets = all
 	}
+	leaving := map[Name][]Target{}
+	for n, l := range v.leaving {
+		leaving[n] = slices.Clone(l)
+	}
+	if t.Epoch > v.told.Epoch {
+		for n, old := range v.told.Targets {
+			if held := t.Targets[n]; held != old && old.Version != "" {
+				leaving[n] = append(leaving[n], old)
+			}
+		}
+	}
+	for n, l := range leaving { // an alias that names nothing, and bytes that are barred, leave at once
+		l = slices.DeleteFunc(l, func(x Target) bool { return t.Targets[n].Version == "" || slices.Contains(t.Barred, x.Digest) })
+		if leaving[n] = l; len(l) == 0 {
+			delete(leaving, n)
+		}
+	}
+	v.leaving = leaving
 	t.Since = 0
 	v.until = max(v.until, asked+t.Lease)
 	v.told = t
@@ -93,8 +118,22 @@
 	Left            // the alias has left that target: the answer is not handed out
 	NoLease         // the registry was not heard for too long: the alias may have moved
 	Unknown         // no such alias
+	Leaving         // the alias has left that target, and no move is acknowledged: answered if it runs, not begun
 )
 
+// Leaving returns the targets that may still be answered and no longer begun.
+func (v *View) Leaving() map[Name][]Target { return v.leaving }
+
+// Settled returns the view in which nothing is leaving any more. A controller that acts by it may confirm its epoch.
+func (v *View) Settled() View {
+	s := *v
+	s.leaving = nil
+	return s
+}
+
+// SettleWithin returns how long the registry lets calls go on under targets that were left.
+func (v *View) SettleWithin() time.Duration { return v.told.Settle }
+
 // Resolve returns what an alias names now. A call keeps its target to the end.
 func (v *View) Resolve(now time.Duration, n Name) (Target, Verdict) {
 	t, ok := v.told.Targets[n]
@@ -117,6 +156,8 @@
 // never handed out, also where stale is fine.
 func (v *View) MayAnswer(now time.Duration, n Name, t Target) Verdict {
 	switch held, ok := v.told.Targets[n]; {
+	case (!ok || held != t) && now < v.until && slices.Contains(v.leaving[n], t):
+		return Leaving // also where stale is fine: once the lease is over, the move may be acknowledged
 	case !ok || held != t:
 		return Left
 	case now >= v.until && !v.told.Stale[n.Model]:
@@ -135,8 +176,8 @@
 	Fail                   // it may have run, and must not twice
 )
 
-// mostAnew is how often one call may begin anew: an alias that moves faster than calls run would keep it for ever.
-const mostAnew = 3
+// MostAnew is how often one call may begin anew: an alias that moves faster than calls run would keep it for ever.
+const MostAnew = 3
 
 // After decides what becomes of a call that its alias has left: a question of its effect and of what may have run.
 //
@@ -150,7 +191,7 @@
 		return Wait
 	case e != choice.Safe && mayHaveRun:
 		return Fail
-	case times >= mostAnew:
+	case times >= MostAnew:
 		return Refuse
 	}
 	return Anew
@@ -159,7 +200,7 @@
 // WithoutLease decides what becomes of a call that may neither go on nor be answered, as the registry was not heard for
 // too long.
 func WithoutLease(e choice.Effect, out, mayHaveRun bool) Next {
-	if n := After(e, out, mayHaveRun, mostAnew); n == Fail || n == Wait {
+	if n := After(e, out, mayHaveRun, MostAnew); n == Fail || n == Wait {
 		return n
 	}
 	return Refuse
--- a/registry/wire/wire.go
+++ b/registry/wire/wire.go
@@ -114,6 +114,8 @@
 	Since       uint64   `json:"since,omitempty"` // 0: all aliases are here
 	Resources   []Alias  `json:"resources"`
 	LeaseMS     float64  `json:"lease_ms"`
+	SettleMS    float64  `json:"settle_ms"`
+	Barred      []string `json:"barred,omitempty"` // digests that are condemned
 	Stale       []string `json:"stale,omitempty"`
 	Stage       []Stage  `json:"stage,omitempty"`
 }
