--- a/choice/mechanism_test.go
+++ b/choice/mechanism_test.go
@@ -85,3 +85,46 @@
 		t.Errorf("D %v after a refusal at 8, want 4", w.tokens)
 	}
 }
+
+// Copies that are asked for ahead of calls come by orders within the limit, to ready workers only, and once.
+func TestStaged(t *testing.T) {
+	s := base()
+	s.Loading.Window, s.Loading.Free, s.Loading.Ratio = 5*time.Second, 3, 0
+	d := start(t, s, ready(1, 2, 3, 4)...)
+	l := ready(1)
+	l[0].State = Draining
+	d.Step(time.Second, []Event{List{Kind: Delta, Workers: l}})
+	first := pickOut[Hold](d.Step(time.Second, []Event{Staged{Function: 7, Copies: 2}}))
+	if len(first) != 2 || first[0].Worker == 1 || first[1].Worker == 1 || first[0].Worker == first[1].Worker || first[0].Function != 7 {
+		t.Fatalf("%+v, want two orders at two ready workers", first)
+	}
+	if l := pickOut[Hold](d.Step(time.Second, []Event{Staged{Function: 7, Copies: 2}})); len(l) != 0 {
+		t.Errorf("told again while they load: %+v", l)
+	}
+	var held []Event
+	for _, h := range first {
+		held = append(held, Held{Worker: h.Worker, Function: 7, Outcome: OK, Copies: 1})
+	}
+	if l := pickOut[Hold](d.Step(2*time.Second, append(held, Staged{Function: 7, Copies: 2}))); len(l) != 0 {
+		t.Errorf("told again while they stand: %+v", l)
+	}
+	if l := pickOut[Hold](d.Step(2*time.Second, []Event{Staged{Function: 8, Copies: 3}})); len(l) != 1 {
+		t.Errorf("%d orders, want the one that the limit leaves", len(l))
+	}
+}
+
+// A call that the instance has taken before earns no load anew.
+func TestAgainEarnsNoLoad(t *testing.T) {
+	s := base()
+	s.Loading.Window, s.Loading.Free, s.Loading.Ratio = 5*time.Second, 0, 1
+	for _, again := range []bool{false, true} {
+		d := start(t, s, ready(1, 2)...)
+		a := arrival(1, 0, 5)
+		a.Again = again
+		d.Step(time.Second, []Event{a})
+		l := pickOut[Hold](d.Step(time.Second, []Event{Staged{Function: 9, Copies: 1}}))
+		if (len(l) == 1) == again {
+			t.Errorf("again %v: %d orders", again, len(l))
+		}
+	}
+}
--- /dev/null
+++ b/controller/versions_test.go
@@ -0,0 +1,315 @@
+package controller
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kitehub/internal/http1"
+	"kitehub/internal/trace"
+	"kitehub/registry"
+	"kitehub/registry/client"
+	"kitehub/registry/service"
+	"kitehub/registry/wire"
+	"kitehub/signing"
+	"kitehub/standin"
+	"kitehub/store"
+)
+
+const operatorSecret = "whsec_b3BlcmF0b3Itb3BlcmF0b3Itb3BlcmF0b3I="
+const controllerSecret = "whsec_Y29udHJvbGxlci1jb250cm9sbGVyLWNvbnRyb2w="
+
+// A desk is a rig with a registry, whose models' bytes come when the test lets them.
+type desk struct {
+	*rig
+	s      *service.Service
+	server *http1.Server
+	ln     net.Listener
+	opKey  *signing.Key
+
+	mu   sync.Mutex
+	hold map[string]chan struct{} // a digest's bytes come once this is closed
+	bad  bool                     // no store has bytes that match
+	keys int
+}
+
+func digestOf(v string) string { return "sha256:" + strings.Repeat(v[1:], 64) }
+
+func newDesk(t *testing.T, settle time.Duration) *desk {
+	t.Helper()
+	d := &desk{hold: map[string]chan struct{}{}}
+	d.rig = newRig(t, 3, func(c *standin.Config) {
+		for i := range c.Functions {
+			c.Functions[i].Versions = true
+		}
+		c.Fetch = func(_, _, digest string) error {
+			d.mu.Lock()
+			ch, bad := d.hold[digest], d.bad
+			d.mu.Unlock()
+			if ch != nil {
+				<-ch
+			}
+			if bad {
+				return errors.New("no store has bytes that match")
+			}
+			return nil
+		}
+	})
+	var err error
+	d.s, _, err = service.Open(service.Config{Clock: d.clk, FS: store.Dir(t.TempDir()), Log: zerolog.Nop(), Every: 100, Hold: 100 * ms,
+		Settings: registry.Settings{Lease: 500 * ms, Drift: 0.01, Settle: settle, Staging: 5 * time.Second, Keep: time.Second, Watch: time.Second,
+			Least: 100, Worse: 0.5, Models: 10, Versions: 10, Aliases: 4, Asking: 4, Remembered: 1000}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	key := func(text string) *signing.Key {
+		k, err := signing.ParseKey(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return k
+	}
+	if d.ln, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	d.server = &http1.Server{Handler: service.NewFront(d.s, []service.Caller{{Name: "op", Keys: []*signing.Key{key(operatorSecret)}, Operator: true},
+		{Name: "c1", Keys: []*signing.Key{key(controllerSecret)}, Controller: true}}, time.Minute)}
+	go d.server.Serve(d.ln)
+	t.Cleanup(func() { d.ln.Close(); d.server.Cut(); d.s.Close() })
+	d.opKey = key(operatorSecret)
+	for _, m := range []string{"safe-1", "keyed-1", "unsafe-1"} {
+		for _, v := range []string{"v1", "v2"} {
+			d.command(wire.Command{Push: &registry.Push{Model: m, Version: registry.Version{Name: v, Digest: digestOf(v), Size: 1}}})
+		}
+		d.move(m, "v1", 0)
+	}
+	return d
+}
+
+func (d *desk) command(c wire.Command) *wire.Answer {
+	d.t.Helper()
+	d.mu.Lock()
+	d.keys++
+	key := fmt.Sprint("k", d.keys)
+	d.mu.Unlock()
+	op := &client.Client{Server: d.ln.Addr().String(), Key: d.opKey, Wall: time.Now} // on one connection they would wait for one another
+	defer op.Close()
+	a, err := op.Command(key, c)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return a
+}
+
+func (d *desk) move(model, to string, rev uint64) *wire.Answer {
+	d.t.Helper()
+	return d.command(wire.Command{Promote: &registry.Promote{Model: model, Alias: "current", To: to, IfRevision: rev}, WaitMS: 10000})
+}
+
+// keep has a version's bytes come only when the function returned is called.
+func (d *desk) keep(v string) (release func()) {
+	ch := make(chan struct{})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hold[digestOf(v)] = ch
+	return func() { close(ch) }
+}
+
+func (d *desk) controller(name string) *Controller {
+	d.t.Helper()
+	c := d.start(d.build(name, `functions { name: "safe-1"`, fmt.Sprintf("registry { server: %q key: %q }\nfunctions { versions: true name: \"safe-1\"", d.ln.Addr(), controllerSecret),
+		`functions { name: "keyed-1"`, `functions { versions: true name: "keyed-1"`, `functions { name: "unsafe-1"`, `functions { versions: true name: "unsafe-1"`))
+	for i := 0; ; i++ { // until it has heard the registry
+		a := exchange(d.t, c.Addr(), sign(d.t, common, name, fmt.Sprint(name, "-first-", i), "safe-1@none", "{}", time.Now()))
+		if a.status == 503 && strings.Contains(a.body, "names no version") {
+			return c
+		}
+		time.Sleep(ms)
+	}
+}
+
+// calls sends one call of each class and returns where their answers come.
+func (d *desk) calls(c *Controller, id string) map[string]chan answer {
+	out := map[string]chan answer{}
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		ch := make(chan answer, 1)
+		out[class] = ch
+		m := sign(d.t, common, "c1", id+"-"+class, class+"-1", "{}", time.Now())
+		go func() { ch <- exchange(d.t, c.Addr(), m) }()
+	}
+	return out
+}
+
+func (d *desk) reached(function string, n int) {
+	d.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(ms) {
+		got := 0
+		for _, r := range d.log.Records() {
+			if r.Kind == trace.Got && r.Function == function {
+				got++
+			}
+		}
+		if got >= n {
+			return
+		}
+	}
+	d.t.Fatalf("%s never reached a worker %d times", function, n)
+}
+
+// An alias that moves while a worker still loads the old version, with no time for what runs: a safe call begins anew, one
+// that may run and must not twice is failed, though its answer comes.
+func TestMovedDuringLoad(t *testing.T) {
+	d := newDesk(t, ms)
+	release := d.keep("v1")
+	c := d.controller("c1")
+	got := d.calls(c, "a")
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		d.reached(class+"-1@v1", 1)
+		if a := d.move(class+"-1", "v2", 1); a.Status != "acknowledged" {
+			t.Fatalf("%+v", a)
+		}
+	}
+	want(t, <-got["safe"], "200 served")
+	if n := d.ran("safe-1@v2"); n != 1 {
+		t.Errorf("the new version ran %d times", n)
+	}
+	release()
+	want(t, <-got["keyed"], "502 failed")
+	want(t, <-got["unsafe"], "502 failed")
+	if n := d.ran("unsafe-1@v1") + d.ran("unsafe-1@v2"); n != 1 {
+		t.Errorf("the unsafe call ran %d times", n)
+	}
+	if n := c.Front.Counts.Anew.Load(); n != 1 {
+		t.Errorf("%d calls began anew, want 1", n)
+	}
+}
+
+// With time for what runs the old version answers, and the acknowledgement comes after it.
+func TestMoveWaitsForCalls(t *testing.T) {
+	d := newDesk(t, 8*time.Second)
+	release := d.keep("v1")
+	c := d.controller("c1")
+	got := d.calls(c, "a")
+	acks := make(chan string, 3)
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		d.reached(class+"-1@v1", 1)
+		go func() { acks <- d.move(class+"-1", "v2", 1).Status }()
+	}
+	for d.epoch() < 6 { // until all three are fenced
+		time.Sleep(ms)
+	}
+	if len(acks) > 0 {
+		t.Error("acknowledged while calls run")
+	}
+	release()
+	for class, ch := range got {
+		want(t, <-ch, "200 served")
+		if n := d.ran(class + "-1@v1"); n != 1 {
+			t.Errorf("%s ran %d times under v1", class, n)
+		}
+	}
+	for range 3 {
+		if s := <-acks; s != "acknowledged" {
+			t.Error(s)
+		}
+	}
+}
+
+// epoch returns the registry's epoch.
+func (d *desk) epoch() (epoch uint64) {
+	d.s.Do(func(_ time.Duration, st *registry.State, _ *registry.Leases) { epoch = st.Epoch })
+	return epoch
+}
+
+// Moved twice during one load, and back: A, B, A. The call that began under the first A is not one of the second.
+func TestMovedTwiceAndBack(t *testing.T) {
+	d := newDesk(t, ms)
+	release := d.keep("v1")
+	c := d.controller("c1")
+	got := d.calls(c, "a")
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		d.reached(class+"-1@v1", 1)
+	}
+	for _, m := range []string{"safe-1", "unsafe-1", "keyed-1"} {
+		d.move(m, "v2", 1)
+		d.move(m, "v1", 2)
+	}
+	release()
+	want(t, <-got["safe"], "200 served") // under v2 if it ran before the move back, else under the second v1
+	want(t, <-got["unsafe"], "502 failed")
+	want(t, <-got["keyed"], "502 failed")
+}
+
+// A controller that is restarted between resolve and send, a mismatch at all stores, and a registry that is gone.
+func TestVersionsAndFailures(t *testing.T) {
+	d := newDesk(t, 100*ms)
+	release := d.keep("v1")
+	c := d.controller("c1")
+	m := sign(t, common, "c1", "cut", "unsafe-1", "{}", time.Now())
+	nc, err := net.Dial("tcp", c.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.Write(m.bytes())
+	d.reached("unsafe-1@v1", 1)
+	c.Kill()
+	d.move("unsafe-1", "v2", 1) // its lease runs out first
+	release()
+	c = d.controller("c1")
+	call := func(id, function string) answer {
+		for i := 0; ; i++ { // a restart has messages signed before it come again
+			a := exchange(t, c.Addr(), sign(t, common, "c1", fmt.Sprint(id, "-", i), function, "{}", time.Now()))
+			if !strings.Contains(a.body, "before a restart") {
+				return a
+			}
+			time.Sleep(20 * ms)
+		}
+	}
+	want(t, call("after", "unsafe-1"), "200 served")
+	if n := d.ran("unsafe-1@v2"); n != 1 {
+		t.Errorf("the new version ran %d times", n)
+	}
+
+	d.mu.Lock()
+	d.bad = true
+	d.mu.Unlock()
+	d.move("safe-1", "v2", 1)
+	if a := call("bad", "safe-1"); a.status == 200 || d.ran("safe-1@v2") > 0 {
+		t.Errorf("with no bytes that match: %v, ran %d times", a, d.ran("safe-1@v2"))
+	}
+	d.mu.Lock()
+	d.bad = false
+	d.mu.Unlock()
+	for a := call("good", "safe-1"); a.status != 200; a = call("good"+fmt.Sprint(time.Now().UnixNano()), "safe-1") {
+		if a.outcome != "refused" && a.outcome != "failed" {
+			t.Fatal(a)
+		}
+	}
+
+	// A worker that runs other bytes: nothing of it is handed out.
+	for _, w := range d.host.Names() {
+		d.host.Lie(w, "keyed-1@v1", digestOf("v2"))
+	}
+	if a := call("lie", "keyed-1"); a.status == 200 || c.Gateway.Counts.Mismatched.Load() == 0 {
+		t.Errorf("other bytes: %v, %d mismatched", a, c.Gateway.Counts.Mismatched.Load())
+	}
+
+	d.ln.Close()
+	d.server.Cut()
+	for {
+		a := call("alone"+fmt.Sprint(time.Now().UnixNano()), "safe-1")
+		if a.status == 503 && strings.Contains(a.body, "registry is not heard") {
+			break
+		}
+		if a.status != 200 {
+			t.Fatal(a)
+		}
+	}
+}
