--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -28,10 +28,10 @@
 	"kitehub/config"
 	"kitehub/controller"
 	"kitehub/discovery"
-	"kitehub/signing"
 	"kitehub/gateway"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
+	"kitehub/signing"
 )
 
 const secret = "whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw"
