--- a/controller/versions_test.go
+++ b/controller/versions_test.go
@@ -313,3 +313,34 @@
 		}
 	}
 }
+
+// A kept answer is not given again once its version was left: a safe call runs anew with its next try, others are failed.
+func TestKeptAnswerOfLeftVersion(t *testing.T) {
+	d := newDesk(t, ms)
+	c := d.controller("c1")
+	at := time.Now().Add(-10 * time.Second)
+	try := func(class string, n int) answer { // the same call again, signed later
+		return exchange(t, c.Addr(), sign(t, common, "c1", "kept-"+class, class+"-1", "{}", at.Add(time.Duration(n)*time.Second)))
+	}
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		want(t, try(class, 0), "200 served")
+		want(t, try(class, 1), "200 served")
+		if n := d.ran(class + "-1@v1"); n != 1 {
+			t.Errorf("%s ran %d times", class, n)
+		}
+		if a := d.move(class+"-1", "v2", 1); a.Status != "acknowledged" {
+			t.Fatalf("%+v", a)
+		}
+	}
+	want(t, try("safe", 2), "503 refused")
+	want(t, try("keyed", 2), "502 failed")
+	want(t, try("unsafe", 2), "502 failed")
+	want(t, try("safe", 2), "409 replayed") // that message was taken
+	want(t, try("safe", 3), "200 served")
+	if n := d.ran("safe-1@v2"); n != 1 {
+		t.Errorf("the safe call ran %d times under the new version", n)
+	}
+	if n := c.Front.Counts.Withheld.Load(); n != 3 {
+		t.Errorf("%d answers withheld, want 3", n)
+	}
+}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -120,6 +120,12 @@
 			{22, Collect{Except: []Bytes{{"m", "v1"}}}, "[]", "v3@3"}, {22, Collect{}, "[{m v1 " + sha("1") + "}]", "v3@3"},
 			{27, Collect{}, "[{3}]", "v3@3"}, {40, Collect{}, "[]", "v3@3"},
 		},
+		"collection waits for controllers that may still act by what was left": {
+			{0, push("v1", "1"), "[]", ""}, {0, push("v2", "2"), "[]", ""}, {0, push("v3", "3"), "[]", ""}, {0, to("v1", 0, 0), "[{1} {1}]", "v1@1"},
+			{1, renew{"c1", 1}, "[]", "v1@1"}, {2, to("v2", 1, 0), "[{2}]", "v2@2"}, {3, to("v3", 2, 0), "[{3}]", "v3@3"},
+			{5, renew{"c1", 1}, "[]", "v3@3"}, {9, renew{"c1", 1}, "[]", "v3@3"}, {12, Collect{}, "[]", "v3@3"},
+			{13, renew{"c1", 3}, "[{2} {3}]", "v3@3"}, {13, Collect{}, "[{m v1 " + sha("1") + "}]", "v3@3"},
+		},
 		"stale is fine where the model says so": {
 			{0, push("v1", "1"), "[]", ""}, {0, Policy{Model: "m", Stale: true}, "[{1}]", ""}, {0, Policy{Model: "m", Stale: true}, "[]", ""},
 			{0, Policy{Model: "n"}, `model: "n" is not known`, ""},
@@ -356,3 +362,43 @@
 	b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc))/1024, "KB/1000versions")
 	runtime.KeepAlive(s)
 }
+
+// What is leaving may be answered and not begun, until it is settled, the lease is over, or its bytes are barred.
+func TestLeaving(t *testing.T) {
+	n, gone := Name{"m", "current"}, Name{"m", "gone"}
+	one, two := Target{"v1", sha("1"), 1}, Target{"v2", sha("2"), 2}
+	told := func(epoch uint64, x Target, barred ...string) Told {
+		return Told{Epoch: epoch, Targets: map[Name]Target{n: x, gone: {"", "", epoch}}, Lease: 10 * sec, Settle: sec, Barred: barred}
+	}
+	begin := func() *View {
+		v := &View{}
+		first := told(1, one)
+		first.Targets[gone] = Target{"v1", sha("1"), 1}
+		if !v.Learn(0, first) || !v.Learn(sec, told(2, two)) {
+			t.Fatal("not learnt")
+		}
+		return v
+	}
+	v := begin()
+	if a, b, c := v.MayAnswer(5*sec, n, one), v.MayAnswer(5*sec, n, two), v.MayAnswer(5*sec, gone, Target{"v1", sha("1"), 1}); a != Leaving || b != May || c != Left {
+		t.Errorf("%v for the one that is leaving, %v for the one that is named, %v for one whose alias names nothing", a, b, c)
+	}
+	if a := v.MayAnswer(11*sec, n, one); a != Left {
+		t.Errorf("after the lease: %v", a)
+	}
+	s := v.Settled()
+	if a := s.MayAnswer(5*sec, n, one); a != Left {
+		t.Errorf("settled: %v", a)
+	}
+	v = begin()
+	if !v.Learn(2*sec, told(3, two, sha("1"))) || v.MayAnswer(5*sec, n, one) != Left {
+		t.Errorf("barred: %v", v.MayAnswer(5*sec, n, one))
+	}
+	v = begin()
+	if v.Learn(3*sec, told(1, one)) || v.MayAnswer(5*sec, n, two) != May {
+		t.Error("an older epoch was learnt")
+	}
+	if v.Learn(3*sec, Told{Epoch: 9, Since: 7, Targets: map[Name]Target{}, Lease: sec}) {
+		t.Error("changes since an epoch that it does not hold were learnt")
+	}
+}
--- a/registry/service/service_test.go
+++ b/registry/service/service_test.go
@@ -575,3 +575,43 @@
 		}
 	})
 }
+
+// A controller that refuses what it is told holds a move up until its lease is over, not for ever.
+func TestNack(t *testing.T) {
+	d := open(t, store.Dir(t.TempDir()))
+	ann, c1 := d.client("ann"), d.client("c1")
+	must(t, ann, "p1", push("v1"))
+	must(t, ann, "p2", push("v2"))
+	must(t, ann, "k1", promote("v1", 0))
+	ask := func(q wire.Request) {
+		q.Node.ID, q.TypeURL = "c1", wire.TypeAlias
+		body, err := json.Marshal(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := c1.Do(wire.DiscoveryPath, client.ID("poll"), nil, body, time.Second); err != nil {
+			t.Error(err)
+		}
+	}
+	ask(wire.Request{VersionInfo: "1"})
+	got := make(chan string, 1)
+	go func() {
+		a, err := ann.Command("k2", promote("v2", 1))
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		got <- a.Status
+	}()
+	for {
+		select {
+		case s := <-got:
+			if s != "acknowledged" {
+				t.Errorf("%s while a controller refuses what it is told", s)
+			}
+			return
+		default:
+			ask(wire.Request{VersionInfo: "1", ErrorDetail: &wire.ErrorDetail{Code: 3, Message: "no"}})
+		}
+	}
+}
