--- a/cmd/kitehub/main_test.go
+++ b/cmd/kitehub/main_test.go
@@ -46,7 +46,13 @@
 // serve starts a controller as a process and returns its address.
 func serve(t *testing.T, config string) (*exec.Cmd, string) {
 	t.Helper()
-	c := program("serve", "--config", config)
+	return launch(t, "serve", "--config", config)
+}
+
+// launch starts a process that serves, and returns its address.
+func launch(t *testing.T, args ...string) (*exec.Cmd, string) {
+	t.Helper()
+	c := program(args...)
 	stderr, err := c.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/kitehub/registry_test.go
+++ b/cmd/kitehub/registry_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"os"
 	"os/exec"
@@ -9,7 +8,6 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 )
 
 // registryProcess starts the registry of examples/loopback in a folder, and returns its address.
@@ -24,35 +22,7 @@
 	if err := os.WriteFile(config, []byte(r.Replace(string(text))), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c := program("registry", "serve", "--config", config)
-	stderr, err := c.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Process.Kill(); c.Wait() })
-	addr := make(chan string, 1)
-	go func() {
-		sc := bufio.NewScanner(stderr)
-		for sc.Scan() {
-			if m := listening.FindStringSubmatch(sc.Text()); m != nil {
-				addr <- m[1]
-			}
-		}
-		close(addr)
-	}()
-	select {
-	case a, ok := <-addr:
-		if !ok {
-			t.Fatal("it ended before it served")
-		}
-		return c, a
-	case <-time.After(20 * time.Second):
-		t.Fatal("it does not serve")
-	}
-	return nil, ""
+	return launch(t, "registry", "serve", "--config", config)
 }
 
 // The operator's commands against real processes: killed with no word, and what was exported imported elsewhere.
