--- a/day/trouble.go
+++ b/day/trouble.go
@@ -76,10 +76,9 @@
 	switch t.What {
 	case What_REGISTRY:
 		if p.versions != nil {
-			addr := p.versions.addr
 			p.versions.kill()
 			p.wait(length)
-			if err := p.versions.start(addr); err != nil {
+			if err := p.versions.start(); err != nil {
 				p.fail(err)
 			}
 		}
--- a/day/versions.go
+++ b/day/versions.go
@@ -42,7 +42,8 @@
 	mu      sync.Mutex
 	service *service.Service
 	server  *http1.Server
-	ln      net.Listener
+	port    net.Listener
+	ln      *life
 	counts  VersionCounts
 }
 
@@ -91,7 +92,7 @@
 		v.fetch[name] = fetch.NewClient(fetch.Settings{Tries: 12, Pause: 5 * time.Millisecond, Longest: 200 * time.Millisecond, Blame: time.Second}, l,
 			time.Second, p.clk, zerolog.Nop())
 	}
-	if err := v.start("127.0.0.1:0"); err != nil {
+	if err := v.start(); err != nil {
 		return nil, err
 	}
 	c := v.client()
@@ -122,7 +123,7 @@
 func version(n int) string { return fmt.Sprint("v", n) }
 
 // start runs the registry's process, on the folder as it is.
-func (v *versions) start(addr string) error {
+func (v *versions) start() error {
 	lease := ms(v.s.LeaseMs)
 	s, _, err := service.Open(service.Config{Clock: v.p.clk, FS: store.Dir(v.dir), Log: v.p.o.Log, Every: 200, Hold: lease / 4,
 		Settings: registry.Settings{Lease: lease, Drift: 0.01, Settle: ms(v.s.SettleMs), Staging: 2 * time.Second, Keep: 3 * time.Second, Watch: time.Second, Least: 200, Worse: 0.5,
@@ -138,19 +139,66 @@
 		}
 		callers = append(callers, service.Caller{Name: name, Keys: []*signing.Key{k}, Operator: name == operator, Controller: name != operator})
 	}
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		s.Close()
-		return err
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.port == nil {
+		if v.port, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			s.Close()
+			return err
+		}
+		go v.accept(v.port)
 	}
+	ln := &life{Listener: v.port, conns: make(chan net.Conn), end: make(chan struct{})}
 	server := &http1.Server{Handler: service.NewFront(s, callers, time.Minute)}
 	go server.Serve(ln)
-	v.mu.Lock()
-	defer v.mu.Unlock()
 	v.service, v.server, v.ln, v.addr = s, server, ln, ln.Addr().String()
 	return nil
 }
 
+// A life is the listener of one process on a port that the rig keeps over its death: a port that was free meanwhile could
+// become another connection's.
+type life struct {
+	net.Listener
+	conns chan net.Conn
+	end   chan struct{}
+}
+
+func (l *life) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.end:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *life) Close() error {
+	close(l.end)
+	return nil
+}
+
+// accept hands connections to the process that lives, and closes them while none does.
+func (v *versions) accept(port net.Listener) {
+	for {
+		c, err := port.Accept()
+		if err != nil {
+			return
+		}
+		v.mu.Lock()
+		ln, up := v.ln, v.service != nil
+		v.mu.Unlock()
+		if !up {
+			c.Close()
+			continue
+		}
+		select {
+		case ln.conns <- c:
+		case <-ln.end:
+			c.Close()
+		}
+	}
+}
+
 // kill ends the registry's process: nobody who waits hears of it, and what it knew of leases is gone.
 func (v *versions) kill() {
 	v.mu.Lock()
@@ -290,6 +338,7 @@
 
 func (v *versions) close() {
 	v.kill()
+	v.port.Close()
 	for _, b := range v.blobs {
 		b.Close()
 	}
