One lock of a folder, and a shorter codec of the registry's commands

From a reviewer's read: the controller and the store locked a folder by the same lines, and the codec listed each command twice in ten closures. The controller uses store.Lock now. Tests of controller, registry and cmd/kitehub pass.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -26,6 +26,7 @@
 	"kitehub/internal/http1"
 	"kitehub/registry/agent"
 	"kitehub/registry/client"
+	"kitehub/store"
 )
 
 // Options are what a configuration does not say.
@@ -54,7 +55,7 @@
 	watch   *discovery.Watcher
 	peers   *peers
 	agent   *agent.Agent
-	lock    *os.File
+	unlock  func() error
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{} // to workers, for Kill
@@ -78,8 +79,8 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return fmt.Errorf("state_dir: %w", err)
 	}
-	if c.lock, err = lockDir(dir); err != nil {
-		return err
+	if c.unlock, err = store.Lock(dir); err != nil {
+		return fmt.Errorf("state_dir: %w", err)
 	}
 	dial := o.Dial
 	if dial == nil {
@@ -258,7 +259,7 @@
 	if c.peers != nil {
 		c.peers.close()
 	}
-	c.lock.Close()
+	c.unlock()
 	return err
 }
 
@@ -315,7 +316,7 @@
 	if c.peers != nil {
 		c.peers.close()
 	}
-	if c.lock != nil {
-		c.lock.Close()
+	if c.unlock != nil {
+		c.unlock()
 	}
 }
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -555,7 +555,7 @@
 		done <- exchange(t, c.Addr(), sign(t, common, "c1", "m1", "unsafe-1", `{"work_ms":300}`, time.Now()))
 	}()
 	r.await(kind(trace.Began))
-	if _, err := Start(r.build("c1"), Options{Clock: r.clk, Log: zerolog.Nop()}); err == nil || !strings.Contains(err.Error(), "another controller's") {
+	if _, err := Start(r.build("c1"), Options{Clock: r.clk, Log: zerolog.Nop()}); err == nil || !strings.Contains(err.Error(), "another process's") {
 		t.Errorf("a second controller on the same state: %v", err)
 	}
 	idle, err := net.Dial("tcp", c.Addr())
--- a/registry/service/codec.go
+++ b/registry/service/codec.go
@@ -29,33 +29,28 @@
 
 // command returns the one command of a record.
 func (r *record) command() (registry.Command, error) {
-	var c registry.Command
-	n := 0
-	set := func(is bool, v func() registry.Command) {
-		if is {
-			n++
-			c = v()
-		}
-	}
-	set(r.Push != nil, func() registry.Command { return *r.Push })
-	set(r.Promote != nil, func() registry.Command { return *r.Promote })
-	set(r.Rollback != nil, func() registry.Command { return *r.Rollback })
-	set(r.Condemn != nil, func() registry.Command { return *r.Condemn })
-	set(r.Policy != nil, func() registry.Command { return *r.Policy })
-	set(r.Collect != nil, func() registry.Command { return *r.Collect })
-	set(r.Stands != nil, func() registry.Command { return *r.Stands })
-	set(r.Ended != nil, func() registry.Command { return *r.Ended })
-	set(r.Reached != nil, func() registry.Command { return *r.Reached })
-	set(r.Tick != nil, func() registry.Command { return *r.Tick })
-	if n != 1 {
-		return nil, fmt.Errorf("command: %d are set, want one of push, promote, rollback, condemn, policy, collect", n)
+	var l []registry.Command
+	l = given(given(given(given(l, r.Push), r.Promote), r.Rollback), r.Condemn)
+	l = given(given(given(given(l, r.Policy), r.Collect), r.Stands), r.Ended)
+	l = given(given(l, r.Reached), r.Tick)
+	if len(l) != 1 {
+		return nil, fmt.Errorf("command: %d are set, want one of push, promote, rollback, condemn, policy, collect", len(l))
 	}
+	c := l[0]
 	if r.Key != "" {
 		c = registry.Keyed{Key: r.Key, Sum: r.Sum, Do: c}
 	}
 	return c, nil
 }
 
+// given appends a command that is set.
+func given[C registry.Command](l []registry.Command, c *C) []registry.Command {
+	if c != nil {
+		l = append(l, *c)
+	}
+	return l
+}
+
 func (r *record) set(c registry.Command) {
 	switch c := c.(type) {
 	case registry.Keyed:
