hook: the operators' language, checked, compiled and run within limits

Operators want to adjust small decisions in a running gateway, and no script of theirs may be able to break a rule or take the gateway down. The language is our own: lexer, parser that goes on behind an error, static checks of names, types, unreachable code and missing returns, what may be advised where; a compiler to bytecode, a VM with fuel, memory counted at allocation, depth, sizes and a last net; formatter, tests within scripts, state that goes over to the next version by name and type, an estimate of cost that warns. Lists and maps are values, maps are run over in the order of their keys, ints that overflow are faults, floats have no NaN, infinity or negative zero.

--- /dev/null
+++ b/hook/doc.go
@@ -0,0 +1,79 @@
+// Package hook is the language in which operators write hooks: small scripts that the gateway runs at named points and
+// that answer with advice. A script can compute, and read what the host gives it, and nothing else: no I/O, no clock but
+// the host's, no variables that outlive a run but those that the host stores. docs/hooks.md is grammar and reference.
+//
+// Check parses and checks a text, Compile makes a Program of it, a VM runs a handler of it within Limits. A run that passes
+// a limit or makes a fault ends with a *Fault, and its effects are dropped whole: advice, and changes of state.
+//
+// Nothing here depends on the order of a Go map, on time or on chance: same program, state, event and clock, same result.
+package hook
+
+import (
+	"fmt"
+	"time"
+)
+
+// Pos is a place in a script, counted from 1; columns are bytes.
+type Pos struct{ Line, Col int }
+
+func (p Pos) String() string { return fmt.Sprintf("%d:%d", p.Line, p.Col) }
+
+// A Problem is what is wrong, or in doubt, at a place of a script.
+type Problem struct {
+	File    string
+	Pos     Pos
+	Text    string
+	Warning bool
+}
+
+func (p *Problem) Error() string {
+	kind := ""
+	if p.Warning {
+		kind = "warning: "
+	}
+	return fmt.Sprintf("%s:%v: %s%s", p.File, p.Pos, kind, p.Text)
+}
+
+// Problems are those of one text, in the order of their places.
+type Problems []*Problem
+
+func (l Problems) Error() string {
+	text := ""
+	for i, p := range l {
+		if i > 0 {
+			text += "\n"
+		}
+		text += p.Error()
+	}
+	return text
+}
+
+// Limits bound one run. All are counted, so that the same run ends at the same place on every machine, but for Stop.
+type Limits struct {
+	Fuel    int64 // instructions; what costs more than one step is charged by its size
+	Memory  int64 // bytes of all strings, lists and maps made, whether still in use or not
+	Depth   int   // calls within calls
+	Size    int   // bytes of a string, entries of a list or map
+	Effects int   // advice given
+	// Stop, where set, is asked every some thousand instructions whether the run must end: a last net over the others.
+	Stop func() bool
+}
+
+// Inline are the limits of what a call waits for; Aside of what nobody waits for.
+var (
+	Inline = Limits{Fuel: 2_000, Memory: 64 << 10, Depth: 16, Size: 4 << 10, Effects: 4}
+	Aside  = Limits{Fuel: 1_000_000, Memory: 8 << 20, Depth: 64, Size: 64 << 10, Effects: 1_000}
+)
+
+// Bounds of a script's text and of what it compiles to.
+const (
+	MaxSource   = 256 << 10
+	maxNesting  = 64 // of expressions and blocks
+	maxProblems = 20
+	maxSlots    = 200 // variables of a function
+	maxCode     = 50_000
+	maxMinutes  = 24 * 60
+)
+
+// Least is the shortest time between two runs of a timer.
+const Least = 100 * time.Millisecond
--- /dev/null
+++ b/hook/format.go
@@ -0,0 +1,319 @@
+package hook
+
+import "strings"
+
+// Format returns a text in the one form that all scripts have: tabs, one statement a line, one empty line between
+// declarations at the most where the text has one. Comments stay. A text that cannot be read is returned with its problems.
+func Format(file, text string) (string, error) {
+	s, bad := parse(file, text)
+	if len(bad) > 0 {
+		return text, bad
+	}
+	f := &formatter{comments: s.comments}
+	for i, d := range s.order {
+		switch d := d.(type) {
+		case *stateDecl:
+			f.begin(d.pos, i > 0)
+			f.write("state ", d.name, " ", d.typ.text(), " = ", f.expr(d.init, 0))
+		case *funcDecl:
+			f.begin(d.pos, i > 0)
+			if d.on != nil {
+				f.write("on ", d.name, "(", d.params[0].name, ")")
+				if d.every > 0 {
+					f.write(" every ", durText(d.every))
+				}
+			} else {
+				f.write("fn ", d.name, "(")
+				for i, p := range d.params {
+					if i > 0 {
+						f.write(", ")
+					}
+					f.write(p.name, " ", p.typ.text())
+				}
+				f.write(")")
+				if d.result != nil {
+					f.write(" ", d.result.text())
+				}
+			}
+			f.write(" ")
+			f.block(d.body)
+		case *testDecl:
+			f.begin(d.pos, i > 0)
+			f.write("test ", quote(d.name), " ")
+			f.block(d.body)
+		}
+	}
+	f.begin(Pos{Line: 1 << 30}, true)
+	return strings.TrimSpace(f.b.String()) + "\n", nil
+}
+
+func (n *typeNode) text() string {
+	switch {
+	case n.name == "list" && n.elem != nil:
+		return "list[" + n.elem.text() + "]"
+	case n.name == "map" && n.key != nil:
+		return "map[" + n.key.text() + "]" + n.elem.text()
+	}
+	return n.name
+}
+
+type formatter struct {
+	b        strings.Builder
+	comments []comment
+	indent   int
+	line     int // of the text, last written
+	fresh    bool
+}
+
+func (f *formatter) write(l ...string) {
+	for _, s := range l {
+		f.b.WriteString(s)
+	}
+}
+
+func (f *formatter) newline(gap bool) {
+	if f.b.Len() == 0 {
+		return
+	}
+	f.b.WriteByte('\n')
+	if gap && !f.fresh {
+		f.b.WriteByte('\n')
+	}
+	f.fresh = false
+	f.write(strings.Repeat("\t", f.indent))
+}
+
+// begin writes the comments that stand before a place, and begins its line.
+func (f *formatter) begin(pos Pos, gap bool) {
+	for len(f.comments) > 0 && (f.comments[0].pos.Line < pos.Line || f.comments[0].pos.Line == pos.Line && f.comments[0].pos.Col < pos.Col) {
+		c := f.comments[0]
+		f.comments = f.comments[1:]
+		if !c.alone && f.line > 0 {
+			f.write(" ", c.text)
+			f.line = c.pos.Line
+			continue
+		}
+		f.newline(c.pos.Line > f.line+1)
+		f.write(c.text)
+		f.line = c.pos.Line
+	}
+	if pos.Line < 1<<30 {
+		f.newline(gap && pos.Line > f.line+1)
+		f.line = pos.Line
+	}
+}
+
+func (f *formatter) block(b *block) {
+	if len(b.stmts) == 0 && (len(f.comments) == 0 || f.comments[0].pos.Line > b.end.Line) {
+		f.write("{}")
+		f.line = b.end.Line
+		return
+	}
+	f.write("{")
+	f.line = b.pos.Line
+	f.indent++
+	f.fresh = true
+	for _, s := range b.stmts {
+		f.begin(s.at(), true)
+		f.stmt(s)
+	}
+	f.close(b.end)
+}
+
+// close writes the comments before a closing brace, and the brace.
+func (f *formatter) close(end Pos) {
+	for len(f.comments) > 0 && f.comments[0].pos.Line < end.Line {
+		c := f.comments[0]
+		f.comments = f.comments[1:]
+		if c.alone {
+			f.newline(c.pos.Line > f.line+1)
+			f.write(c.text)
+		} else {
+			f.write(" ", c.text)
+		}
+		f.line = c.pos.Line
+	}
+	f.indent--
+	f.fresh = true
+	f.newline(false)
+	f.fresh = false
+	f.write("}")
+	f.line = end.Line
+}
+
+func (f *formatter) stmt(s stmt) {
+	switch s := s.(type) {
+	case *letStmt:
+		f.write("let ", s.name)
+		if s.typ != nil {
+			f.write(" ", s.typ.text())
+		}
+		f.write(" = ", f.expr(s.value, 0))
+	case *setStmt:
+		f.write(s.name)
+		if s.index != nil {
+			f.write("[", f.expr(s.index, 0), "]")
+		}
+		f.write(" ", s.op, "= ", f.expr(s.value, 0))
+	case *ifStmt:
+		f.write("if ", f.header(s.cond), " ")
+		f.block(s.then)
+		if s.els != nil {
+			f.write(" else ")
+			if b, ok := s.els.(*block); ok {
+				f.block(b)
+			} else {
+				f.stmt(s.els)
+			}
+		}
+	case *forStmt:
+		f.write("for ")
+		if s.key != "" {
+			f.write(s.key, ", ")
+		}
+		f.write(s.name, " in ", f.header(s.from))
+		if s.to != nil {
+			f.write("..", f.header(s.to))
+		}
+		f.write(" ")
+		f.block(s.body)
+	case *matchStmt:
+		f.write("match ", f.header(s.value), " {")
+		f.line = s.pos.Line
+		f.indent++
+		f.fresh = true
+		for _, c := range s.cases {
+			f.begin(c.values[0].at(), false)
+			f.write("case ")
+			for i, v := range c.values {
+				if i > 0 {
+					f.write(", ")
+				}
+				f.write(f.header(v))
+			}
+			f.write(" ")
+			f.block(c.body)
+		}
+		end := f.line + 1
+		if s.els != nil {
+			f.begin(s.els.pos, false)
+			f.write("else ")
+			f.block(s.els)
+			end = f.line + 1
+		}
+		f.close(Pos{Line: end})
+		f.line = end
+	case *returnStmt:
+		f.write("return")
+		if s.value != nil {
+			f.write(" ", f.expr(s.value, 0))
+		}
+	case *leaveStmt:
+		f.write(s.word)
+	case *exprStmt:
+		f.write(f.expr(s.value, 0))
+	}
+}
+
+// header writes an expression before a block's brace: a record's literal needs brackets there.
+func (f *formatter) header(e expr) string {
+	s := f.expr(e, 0)
+	if bareRecord(e) {
+		return "(" + s + ")"
+	}
+	return s
+}
+
+func bareRecord(e expr) bool {
+	switch e := e.(type) {
+	case *recExpr:
+		return true
+	case *unaryExpr:
+		return bareRecord(e.x)
+	case *binExpr:
+		return bareRecord(e.x) || bareRecord(e.y)
+	case *fieldExpr:
+		return bareRecord(e.x)
+	case *indexExpr:
+		return bareRecord(e.x)
+	}
+	return false
+}
+
+func strength(op string) int {
+	for i, l := range levels {
+		for _, o := range l {
+			if o == op {
+				return i + 1
+			}
+		}
+	}
+	return 0
+}
+
+// expr writes an expression that stands where only what binds at least so strongly needs no brackets.
+func (f *formatter) expr(e expr, least int) string {
+	list := func(l []expr) string {
+		var parts []string
+		for _, x := range l {
+			parts = append(parts, f.expr(x, 0))
+		}
+		return strings.Join(parts, ", ")
+	}
+	switch e := e.(type) {
+	case *litExpr:
+		if e.t == tyStr {
+			return quote(e.v.str())
+		}
+		return e.text
+	case *nameExpr:
+		return e.name
+	case *unaryExpr:
+		n, s := 6, "-"
+		if e.op == "not" {
+			n, s = 3, "not "
+		}
+		s += f.expr(e.x, n)
+		if n < least {
+			return "(" + s + ")"
+		}
+		return s
+	case *binExpr:
+		n := strength(e.op)
+		left := n
+		if n == 3 {
+			left++ // comparisons do not chain
+		}
+		s := f.expr(e.x, left) + " " + e.op + " " + f.expr(e.y, n+1)
+		if n < least {
+			return "(" + s + ")"
+		}
+		return s
+	case *listExpr:
+		if e.node != nil {
+			return e.node.text() + "{" + list(e.items) + "}"
+		}
+		return "[" + list(e.items) + "]"
+	case *mapExpr:
+		var parts []string
+		for i := range e.keys {
+			parts = append(parts, f.expr(e.keys[i], 0)+": "+f.expr(e.values[i], 0))
+		}
+		return e.node.text() + "{" + strings.Join(parts, ", ") + "}"
+	case *recExpr:
+		var parts []string
+		for i := range e.fields {
+			parts = append(parts, e.fields[i]+": "+f.expr(e.values[i], 0))
+		}
+		return e.name + "{" + strings.Join(parts, ", ") + "}"
+	case *indexExpr:
+		return f.expr(e.x, 7) + "[" + f.expr(e.i, 0) + "]"
+	case *fieldExpr:
+		return f.expr(e.x, 7) + "." + e.name
+	case *callExpr:
+		return e.name + "(" + list(e.args) + ")"
+	case *runExpr:
+		return "run " + e.point + "(" + f.expr(e.arg, 0) + ")"
+	}
+	return "?"
+}
--- /dev/null
+++ b/hook/state.go
@@ -0,0 +1,210 @@
+package hook
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+	"unicode/utf8"
+)
+
+// A State is the values of a program's state variables. It does not change: a run that writes leads to another.
+type State struct {
+	p      *Program
+	values []Value
+}
+
+// State returns the state that a program begins with.
+func (p *Program) State() *State { return &State{p, p.first} }
+
+// Take returns the program's state with what another, perhaps of another program, has of the same names and types.
+func (p *Program) Take(old *State) *State {
+	if old == nil {
+		return p.State()
+	}
+	s := &State{p, slices.Clone(p.first)}
+	for i, v := range p.state {
+		for k, o := range old.p.state {
+			if o.name == v.name && same(o.t, v.t) {
+				s.values[i] = old.values[k]
+			}
+		}
+	}
+	return s
+}
+
+// Equal tells whether two states have the same names, types and values.
+func (s *State) Equal(o *State) bool {
+	if len(s.values) != len(o.values) {
+		return false
+	}
+	for i, v := range s.p.state {
+		w := o.p.state[i]
+		if v.name != w.name || !same(v.t, w.t) || !equal(v.t, s.values[i], o.values[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// String writes the state as the language does, a line for each variable.
+func (s *State) String() string {
+	var b bytes.Buffer
+	for i, v := range s.p.state {
+		fmt.Fprintf(&b, "state %s %v = %s\n", v.name, v.t, text(v.t, s.values[i]))
+	}
+	return b.String()
+}
+
+type saved struct {
+	Name  string          `json:"name"`
+	Type  string          `json:"type"`
+	Value json.RawMessage `json:"value"`
+}
+
+// MarshalJSON writes the state: ints and durations as strings, as JSON's readers lose digits above 2^53 (RFC 8259, 6).
+func (s *State) MarshalJSON() ([]byte, error) {
+	l := []saved{}
+	for i, v := range s.p.state {
+		l = append(l, saved{v.name, v.t.String(), encode(nil, v.t, s.values[i])})
+	}
+	return json.Marshal(l)
+}
+
+// Restore reads what MarshalJSON wrote. Variables that the program does not have, or has with another type, are left out.
+func (p *Program) Restore(text []byte) (*State, error) {
+	var l []saved
+	if err := json.Unmarshal(text, &l); err != nil {
+		return nil, fmt.Errorf("hook state: %w", err)
+	}
+	s := &State{p, slices.Clone(p.first)}
+	for _, w := range l {
+		for i, v := range p.state {
+			if v.name != w.Name || v.t.String() != w.Type {
+				continue
+			}
+			d := json.NewDecoder(bytes.NewReader(w.Value))
+			d.UseNumber()
+			var x any
+			if err := d.Decode(&x); err != nil {
+				return nil, fmt.Errorf("hook state: %s: %w", w.Name, err)
+			}
+			val, err := decode(v.t, x)
+			if err != nil {
+				return nil, fmt.Errorf("hook state: %s: %w", w.Name, err)
+			}
+			val.freeze()
+			s.values[i] = val
+		}
+	}
+	return s, nil
+}
+
+func encode(b []byte, t *Type, v Value) []byte {
+	switch {
+	case t == tyBool:
+		return strconv.AppendBool(b, v.n != 0)
+	case t == tyFloat:
+		return strconv.AppendFloat(b, v.float(), 'g', -1, 64)
+	case t == tyStr:
+		q, _ := json.Marshal(v.str())
+		return append(b, q...)
+	case t.name == "list":
+		b = append(b, '[')
+		for i, e := range v.o.l {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = encode(b, t.elem, e)
+		}
+		return append(b, ']')
+	case t.name == "map": // a list of pairs: keys may be ints
+		b = append(b, '[')
+		for i, e := range v.o.l {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = append(encode(append(b, '['), t.key, v.o.keys[i]), ',')
+			b = append(encode(b, t.elem, e), ']')
+		}
+		return append(b, ']')
+	}
+	return append(strconv.AppendInt(append(b, '"'), v.n, 10), '"')
+}
+
+func decode(t *Type, x any) (Value, error) {
+	bad := func() (Value, error) { return Value{}, fmt.Errorf("%v is no %v", x, t) }
+	switch {
+	case t == tyBool:
+		if b, ok := x.(bool); ok {
+			return boolValue(b), nil
+		}
+	case t == tyFloat:
+		if n, ok := x.(json.Number); ok {
+			if f, err := n.Float64(); err == nil {
+				return floatValue(f), nil
+			}
+		}
+	case t == tyStr:
+		if s, ok := x.(string); ok && utf8.ValidString(s) {
+			return strValue(s), nil
+		}
+	case t.box():
+		l, ok := x.([]any)
+		if !ok {
+			return bad()
+		}
+		o := &object{box: true}
+		for _, e := range l {
+			if t.key != nil {
+				pair, ok := e.([]any)
+				if !ok || len(pair) != 2 {
+					return bad()
+				}
+				k, err := decode(t.key, pair[0])
+				if err != nil {
+					return k, err
+				}
+				if n := len(o.keys); n > 0 && compare(t.key, o.keys[n-1], k) >= 0 {
+					return bad()
+				}
+				o.keys, e = append(o.keys, k), pair[1]
+			}
+			v, err := decode(t.elem, e)
+			if err != nil {
+				return v, err
+			}
+			o.l = append(o.l, v)
+		}
+		return Value{o: o}, nil
+	default:
+		if s, ok := x.(string); ok {
+			if n, err := strconv.ParseInt(s, 10, 64); err == nil {
+				return Value{n: n}, nil
+			}
+		}
+	}
+	return bad()
+}
+
+// A TestResult is the end of one test of a script.
+type TestResult struct {
+	Name string
+	Pos  Pos
+	Err  error // a *Fault, or nil
+	Fuel int64
+}
+
+// Test runs the tests of a program in the order of the text, each from the first state. Their clock stands at a day's begin.
+func (p *Program) Test(trace func(function string, pos Pos, locals []Value)) (l []TestResult) {
+	vm := NewVM()
+	vm.Trace = trace
+	for _, t := range p.tests {
+		vm.start(p, p.State(), Env{Now: int64(24 * time.Hour), Wall: 86400}, Aside)
+		err := vm.guard(p, func() { vm.exec(p.funcs[t.fn], nil) })
+		l = append(l, TestResult{t.name, t.pos, err, Aside.Fuel - vm.fuel})
+	}
+	return l
+}
--- /dev/null
+++ b/hook/vm.go
@@ -0,0 +1,763 @@
+package hook
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+)
+
+// FaultKind says why a run was ended.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	FaultFuel     FaultKind = "fuel"
+	FaultMemory   FaultKind = "memory"
+	FaultDepth    FaultKind = "depth"
+	FaultSize     FaultKind = "size"
+	FaultEffects  FaultKind = "effects"
+	FaultStopped  FaultKind = "stopped" // by Limits.Stop
+	FaultOverflow FaultKind = "overflow"
+	FaultDivision FaultKind = "division"
+	FaultIndex    FaultKind = "index"
+	FaultKey      FaultKind = "key"
+	FaultRange    FaultKind = "range"
+	FaultRaised   FaultKind = "raised" // by fail
+	FaultExpect   FaultKind = "expect"
+	FaultInternal FaultKind = "internal"
+)
+
+// A Fault ended a run. What the run had advised or stored is dropped.
+type Fault struct {
+	Kind  FaultKind
+	Text  string
+	File  string
+	Pos   Pos
+	Stack []string // names of the functions, the innermost first
+}
+
+func (f *Fault) Error() string {
+	return fmt.Sprintf("%s:%v: %s: %s (in %s)", f.File, f.Pos, f.Kind, f.Text, strings.Join(f.Stack, ", "))
+}
+
+// Exhausted tells whether the run took more than it may, rather than going wrong.
+func (f *Fault) Exhausted() bool {
+	switch f.Kind {
+	case FaultFuel, FaultMemory, FaultDepth, FaultSize, FaultEffects, FaultStopped:
+		return true
+	}
+	return false
+}
+
+// Env is what a run sees of time.
+type Env struct {
+	Now  int64 // the step's clock, nanoseconds
+	Wall int64 // time of day, seconds since 1970
+}
+
+// A Result is what a run led to.
+type Result struct {
+	Advice []Advice
+	State  *State // as the run leaves it
+	Fuel   int64  // spent
+	Memory int64
+}
+
+const objectBytes = 96
+
+// A VM runs programs, one at a time. It keeps its stack from run to run.
+type VM struct {
+	p      *Program
+	lim    Limits
+	env    Env
+	fuel   int64 // left
+	memory int64
+	checks int64 // fuel at which Stop is asked next
+	stack  []Value
+	frames []frame
+	state  []Value
+	wrote  []bool
+	advice []Advice
+	keep   *[]Value
+	// Trace, where set, is called before the first instruction of each line that is run.
+	Trace func(function string, pos Pos, locals []Value)
+	last  Pos
+}
+
+type frame struct {
+	fn   *function
+	pc   int
+	base int
+	ret  bool
+}
+
+// NewVM returns a VM.
+func NewVM() *VM { return &VM{stack: make([]Value, 0, 256)} }
+
+type faulted struct{ f *Fault }
+
+func (vm *VM) fault(kind FaultKind, format string, args ...any) {
+	panic(faulted{&Fault{Kind: kind, Text: fmt.Sprintf(format, args...)}})
+}
+
+// spend charges for what costs more than one instruction.
+func (vm *VM) spend(n int64) {
+	if vm.fuel -= n; vm.fuel < vm.checks {
+		vm.check()
+	}
+}
+
+const between = 4096
+
+func (vm *VM) check() {
+	if vm.fuel < 0 {
+		vm.fault(FaultFuel, "more than %d instructions", vm.lim.Fuel)
+	}
+	if vm.lim.Stop != nil && vm.lim.Stop() {
+		vm.fault(FaultStopped, "its time is up")
+	}
+	vm.checks = max(0, vm.fuel-between)
+}
+
+func (vm *VM) alloc(n int64) {
+	if vm.memory -= n; vm.memory < 0 {
+		vm.fault(FaultMemory, "more than %d bytes", vm.lim.Memory)
+	}
+}
+
+func (vm *VM) size(n int) {
+	if n > vm.lim.Size {
+		vm.fault(FaultSize, "%d, over the %d that a string, list or map may have", n, vm.lim.Size)
+	}
+}
+
+func (vm *VM) str(s string) Value {
+	vm.size(len(s))
+	vm.spend(int64(len(s)) / 16)
+	vm.alloc(objectBytes + int64(len(s)))
+	return strValue(s)
+}
+
+// list charges for a list of n entries.
+func (vm *VM) list(n int64) {
+	vm.size(int(n))
+	vm.spend(n / 4)
+	vm.alloc(objectBytes + 16*n)
+}
+
+func (vm *VM) clone(o *object) *object {
+	vm.list(int64(len(o.l) + len(o.keys)))
+	c := &object{box: true, l: slices.Clone(o.l), keys: slices.Clone(o.keys)}
+	for _, e := range c.l {
+		e.share()
+	}
+	return c
+}
+
+func (vm *VM) span(a []Value, n int) (from, to int) {
+	if a[1].n < 0 || a[2].n < a[1].n || a[2].n > int64(n) {
+		vm.fault(FaultIndex, "slice %d to %d of %d", a[1].n, a[2].n, n)
+	}
+	return int(a[1].n), int(a[2].n)
+}
+
+// guard runs f and returns the fault that ended it.
+func (vm *VM) guard(p *Program, f func()) (err error) {
+	defer func() {
+		r := recover()
+		if r == nil {
+			return
+		}
+		fault, ok := r.(faulted)
+		if !ok { // a fault of ours must not end the gateway
+			fault.f = &Fault{Kind: FaultInternal, Text: fmt.Sprint(r)}
+		}
+		fault.f.File = p.File
+		for i := len(vm.frames) - 1; i >= 0; i-- {
+			fr := vm.frames[i]
+			if len(fault.f.Stack) == 0 && fr.pc > 0 && fr.pc <= len(fr.fn.places) {
+				fault.f.Pos = fr.fn.places[fr.pc-1]
+			}
+			if len(fault.f.Stack) == 8 {
+				fault.f.Stack = append(fault.f.Stack, "…")
+				break
+			}
+			fault.f.Stack = append(fault.f.Stack, fr.fn.name)
+		}
+		err = fault.f
+	}()
+	vm.frames, vm.stack = vm.frames[:0], vm.stack[:0]
+	f()
+	return nil
+}
+
+// Run runs the handler of an event's point. The error is a *Fault; then the Result has what was spent, and nothing else.
+func (vm *VM) Run(p *Program, point string, e Event, st *State, env Env, lim Limits) (Result, error) {
+	h := p.handlers[point]
+	if h == nil {
+		return Result{State: st}, nil
+	}
+	r, fields := e.values()
+	if r != h.point.Record {
+		panic(fmt.Sprintf("hook: %s gets a %s, not a %s", point, h.point.Record.Name, r.Name))
+	}
+	vm.start(p, st, env, lim)
+	err := vm.guard(p, func() {
+		vm.exec(p.funcs[h.fn], []Value{{o: &object{l: fields}}})
+		vm.settle()
+	})
+	res := Result{Fuel: lim.Fuel - vm.fuel, Memory: lim.Memory - vm.memory, State: st}
+	if err != nil {
+		return res, err
+	}
+	res.Advice = vm.advice
+	res.State = vm.left(st)
+	return res, nil
+}
+
+func (vm *VM) start(p *Program, st *State, env Env, lim Limits) {
+	vm.p, vm.env, vm.lim, vm.advice = p, env, lim, nil
+	vm.fuel, vm.memory, vm.last = lim.Fuel, lim.Memory, Pos{}
+	vm.checks = max(0, vm.fuel-between)
+	vm.state = st.values
+	vm.wrote = nil
+}
+
+// settle makes what the run stored safe to be read by others, and charges for it.
+func (vm *VM) settle() {
+	for i, w := range vm.wrote {
+		if w {
+			n := steps(vm.state[i])
+			vm.spend(n)
+			vm.size(int(n))
+			vm.state[i].freeze()
+		}
+	}
+}
+
+func (vm *VM) left(st *State) *State {
+	if vm.wrote == nil {
+		return st
+	}
+	return &State{vm.p, vm.state}
+}
+
+// set changes a variable of the state: the run has its own from the first change on.
+func (vm *VM) set(i int32, v Value) {
+	if vm.wrote == nil {
+		vm.wrote = make([]bool, len(vm.state))
+		vm.state = slices.Clone(vm.state)
+	}
+	vm.state[i], vm.wrote[i] = v, true
+}
+
+// own returns the list or map of a variable for changing: a copy, where it is stored elsewhere too.
+func (vm *VM) own(base int, in instr) *object {
+	if in.b == 1 {
+		v := vm.state[in.a]
+		if v.o.stored < 2 && vm.wrote != nil && vm.wrote[in.a] {
+			return v.o
+		}
+		o := vm.clone(v.o)
+		o.stored = 1
+		vm.set(in.a, Value{o: o})
+		return o
+	}
+	v := vm.stack[base+int(in.a)]
+	if v.o.stored < 2 {
+		return v.o
+	}
+	o := vm.clone(v.o)
+	o.stored = 1
+	vm.stack[base+int(in.a)] = Value{o: o}
+	return o
+}
+
+func (vm *VM) enter(fn *function, args int) int {
+	if len(vm.frames) >= vm.lim.Depth {
+		vm.fault(FaultDepth, "more than %d calls within calls", vm.lim.Depth)
+	}
+	base := len(vm.stack) - args
+	need := base + fn.slots + fn.depth
+	if need > cap(vm.stack) {
+		vm.stack = slices.Grow(vm.stack, need-len(vm.stack))
+	}
+	vm.stack = vm.stack[:base+fn.slots]
+	clear(vm.stack[base+args:])
+	for i := base; i < base+args; i++ {
+		vm.stack[i].share()
+	}
+	vm.frames = append(vm.frames, frame{fn: fn, base: base})
+	return base
+}
+
+// exec runs a function to its end and returns its result.
+func (vm *VM) exec(fn *function, args []Value) Value {
+	vm.stack = append(vm.stack, args...)
+	floor := len(vm.frames)
+	base := vm.enter(fn, len(args))
+	code, pc := fn.code, 0
+	st := vm.stack
+	for {
+		in := code[pc]
+		pc++
+		if vm.fuel--; vm.fuel < vm.checks {
+			vm.frames[len(vm.frames)-1].pc = pc
+			vm.check()
+		}
+		if vm.Trace != nil {
+			if pos := vm.frames[len(vm.frames)-1].fn.places[pc-1]; pos.Line != vm.last.Line {
+				vm.last = pos
+				f := vm.frames[len(vm.frames)-1].fn
+				vm.Trace(f.name, pos, st[base:base+f.slots])
+			}
+		}
+		n := len(st) - 1
+		switch in.op {
+		case opConst:
+			st = append(st, vm.p.consts[in.a])
+		case opInt:
+			st = append(st, Value{n: int64(in.a)})
+		case opLoad:
+			st = append(st, st[base+int(in.a)])
+		case opStore:
+			st[base+int(in.a)] = st[n].share()
+			st = st[:n]
+		case opLoadState:
+			st = append(st, vm.state[in.a])
+		case opStoreState:
+			vm.set(in.a, st[n].share())
+			st = st[:n]
+		case opPop:
+			st = st[:n]
+		case opJump:
+			pc = int(in.a)
+		case opJumpFalse:
+			if st[n].n == 0 {
+				pc = int(in.a)
+			}
+			st = st[:n]
+		case opJumpTrue:
+			if st[n].n != 0 {
+				pc = int(in.a)
+			}
+			st = st[:n]
+		case opAndJump:
+			if st[n].n == 0 {
+				pc = int(in.a)
+			} else {
+				st = st[:n]
+			}
+		case opOrJump:
+			if st[n].n != 0 {
+				pc = int(in.a)
+			} else {
+				st = st[:n]
+			}
+		case opNot:
+			st[n].n ^= 1
+		case opAddIntConst:
+			x := st[n].n
+			if x > math.MaxInt64-int64(in.a) {
+				vm.at(pc)
+				vm.fault(FaultOverflow, "%d + %d", x, in.a)
+			}
+			st[n].n = x + int64(in.a)
+		case opAddInt:
+			x, y := st[n-1].n, st[n].n
+			z := x + y
+			if (x^z)&(y^z) < 0 {
+				vm.at(pc)
+				vm.fault(FaultOverflow, "%d + %d", x, y)
+			}
+			st = st[:n]
+			st[n-1].n = z
+		case opSubInt:
+			x, y := st[n-1].n, st[n].n
+			z := x - y
+			if (x^y)&(x^z) < 0 {
+				vm.at(pc)
+				vm.fault(FaultOverflow, "%d - %d", x, y)
+			}
+			st = st[:n]
+			st[n-1].n = z
+		case opEqInt:
+			st = st[:n]
+			st[n-1] = boolValue(st[n-1].n == st[:n+1][n].n)
+		case opNeInt:
+			st = st[:n]
+			st[n-1] = boolValue(st[n-1].n != st[:n+1][n].n)
+		case opLtInt:
+			st = st[:n]
+			st[n-1] = boolValue(st[n-1].n < st[:n+1][n].n)
+		case opLeInt:
+			st = st[:n]
+			st[n-1] = boolValue(st[n-1].n <= st[:n+1][n].n)
+		case opGtInt:
+			st = st[:n]
+			st[n-1] = boolValue(st[n-1].n > st[:n+1][n].n)
+		case opGeInt:
+			st = st[:n]
+			st[n-1] = boolValue(st[n-1].n >= st[:n+1][n].n)
+		case opLtFloat:
+			st = st[:n]
+			st[n-1] = boolValue(st[n-1].float() < st[:n+1][n].float())
+		case opLeFloat:
+			st = st[:n]
+			st[n-1] = boolValue(st[n-1].float() <= st[:n+1][n].float())
+		case opGtFloat:
+			st = st[:n]
+			st[n-1] = boolValue(st[n-1].float() > st[:n+1][n].float())
+		case opGeFloat:
+			st = st[:n]
+			st[n-1] = boolValue(st[n-1].float() >= st[:n+1][n].float())
+		case opField:
+			st[n] = st[n].o.l[in.a]
+		case opIndexList:
+			l, i := st[n-1].o.l, st[n].n
+			if i < 0 || i >= int64(len(l)) {
+				vm.at(pc)
+				vm.fault(FaultIndex, "entry %d of %d", i, len(l))
+			}
+			st = st[:n]
+			st[n-1] = l[i]
+		case opNextRange:
+			cur := &st[base+int(in.b)+1]
+			if cur.n >= st[base+int(in.b)+2].n {
+				pc = int(in.a)
+				break
+			}
+			st[base+int(in.b)] = Value{n: cur.n}
+			cur.n++
+		case opNextList:
+			o, cur := st[base+int(in.b)+1].o, &st[base+int(in.b)+2]
+			if cur.n >= int64(len(o.l)) {
+				pc = int(in.a)
+				break
+			}
+			st[base+int(in.b)] = o.l[cur.n].share()
+			cur.n++
+		case opCall:
+			fn := vm.p.funcs[in.a]
+			vm.at(pc)
+			vm.stack = st
+			base = vm.enter(fn, int(in.b))
+			st = vm.stack
+			code, pc = fn.code, 0
+		case opReturn, opReturnNothing:
+			var v Value
+			if in.op == opReturn {
+				v = st[n]
+			} else if vm.keep != nil {
+				*vm.keep = append(*vm.keep, st[base:]...)
+			}
+			st = st[:base]
+			vm.frames = vm.frames[:len(vm.frames)-1]
+			if len(vm.frames) == floor {
+				vm.stack = st
+				return v
+			}
+			if in.op == opReturn {
+				st = append(st, v)
+			}
+			f := &vm.frames[len(vm.frames)-1]
+			base, code, pc = f.base, f.fn.code, f.pc
+		default:
+			vm.at(pc)
+			vm.stack = st
+			pc = vm.slow(in, base, pc, code)
+			st = vm.stack
+		}
+	}
+}
+
+// at notes where the innermost frame stands, for a fault.
+func (vm *VM) at(pc int) { vm.frames[len(vm.frames)-1].pc = pc }
+
+func (vm *VM) pop() Value {
+	v := vm.stack[len(vm.stack)-1]
+	vm.stack = vm.stack[:len(vm.stack)-1]
+	return v
+}
+
+func (vm *VM) push(v Value) { vm.stack = append(vm.stack, v) }
+
+func (vm *VM) finite(x float64) Value {
+	if math.IsNaN(x) || math.IsInf(x, 0) {
+		vm.fault(FaultOverflow, "the result is no finite number")
+	}
+	return floatValue(x + 0) // no negative zero either: what is equal looks alike
+}
+
+// slow carries out what needs not be fastest, and returns where to go on.
+func (vm *VM) slow(in instr, base, pc int, code []instr) int {
+	switch in.op {
+	case opNegInt:
+		v := vm.pop()
+		if v.n == math.MinInt64 {
+			vm.fault(FaultOverflow, "-(%d)", v.n)
+		}
+		vm.push(Value{n: -v.n})
+	case opNegFloat:
+		vm.push(vm.finite(-vm.pop().float()))
+	case opMulInt:
+		y, x := vm.pop().n, vm.pop().n
+		z := x * y
+		if x != 0 && (z/x != y || x == -1 && y == math.MinInt64) {
+			vm.fault(FaultOverflow, "%d * %d", x, y)
+		}
+		vm.push(Value{n: z})
+	case opDivInt, opModInt:
+		y, x := vm.pop().n, vm.pop().n
+		if y == 0 {
+			vm.fault(FaultDivision, "%d by 0", x)
+		}
+		if y == -1 { // the one quotient that does not fit
+			if in.op == opModInt {
+				vm.push(Value{})
+				break
+			}
+			if x == math.MinInt64 {
+				vm.fault(FaultOverflow, "%d / %d", x, y)
+			}
+		}
+		if in.op == opDivInt {
+			vm.push(Value{n: x / y})
+		} else {
+			vm.push(Value{n: x % y})
+		}
+	case opAddFloat, opSubFloat, opMulFloat, opDivFloat:
+		y, x := vm.pop().float(), vm.pop().float()
+		switch in.op {
+		case opAddFloat:
+			x += y
+		case opSubFloat:
+			x -= y
+		case opMulFloat:
+			x *= y
+		default:
+			if y == 0 {
+				vm.fault(FaultDivision, "%s by 0", floatText(x))
+			}
+			x /= y
+		}
+		vm.push(vm.finite(x))
+	case opDivDur:
+		y, x := vm.pop().n, vm.pop().n
+		if y == 0 {
+			vm.fault(FaultDivision, "a duration by none")
+		}
+		vm.push(floatValue(float64(x) / float64(y)))
+	case opAddStr:
+		y, x := vm.pop().str(), vm.pop().str()
+		vm.size(len(x) + len(y))
+		vm.push(vm.str(x + y))
+	case opAddList:
+		y, x := vm.pop().o, vm.pop().o
+		vm.list(int64(len(x.l) + len(y.l)))
+		o := &object{box: true, l: slices.Concat(x.l, y.l)}
+		for _, e := range o.l {
+			e.share()
+		}
+		vm.push(Value{o: o})
+	case opLtStr, opLeStr, opGtStr, opGeStr:
+		y, x := vm.pop().str(), vm.pop().str()
+		vm.spend(int64(min(len(x), len(y))) / 16)
+		c := strings.Compare(x, y)
+		vm.push(boolValue(map[opcode]bool{opLtStr: c < 0, opLeStr: c <= 0, opGtStr: c > 0, opGeStr: c >= 0}[in.op]))
+	case opEq, opNe:
+		y, x := vm.pop(), vm.pop()
+		vm.spend(min(steps(x), steps(y)))
+		vm.push(boolValue(equal(vm.p.types[in.a], x, y) == (in.op == opEq)))
+	case opInStr:
+		y, x := vm.pop().str(), vm.pop().str()
+		vm.spend(int64(len(y)) / 8)
+		vm.push(boolValue(strings.Contains(y, x)))
+	case opInList:
+		y, x := vm.pop(), vm.pop()
+		vm.spend(steps(y))
+		t := vm.p.types[in.a]
+		vm.push(boolValue(slices.ContainsFunc(y.o.l, func(v Value) bool { return equal(t, v, x) })))
+	case opInMap:
+		y, x := vm.pop(), vm.pop()
+		vm.spend(4)
+		_, ok := y.o.find(x)
+		vm.push(boolValue(ok))
+	case opList:
+		n := int(in.a)
+		vm.list(int64(n))
+		o := &object{box: true, l: slices.Clone(vm.stack[len(vm.stack)-n:])}
+		for _, e := range o.l {
+			e.share()
+		}
+		vm.stack = vm.stack[:len(vm.stack)-n]
+		vm.push(Value{o: o})
+	case opMap:
+		n := int(in.a)
+		vm.list(2 * int64(n))
+		o := &object{box: true}
+		l := vm.stack[len(vm.stack)-2*n:]
+		for i := 0; i < n; i++ {
+			vm.put(o, l[2*i], l[2*i+1])
+		}
+		vm.stack = vm.stack[:len(vm.stack)-2*n]
+		vm.push(Value{o: o})
+	case opRecord:
+		t := &vm.p.records[in.a]
+		vm.alloc(objectBytes + 16*int64(len(t.values)))
+		o := &object{l: slices.Clone(t.values)}
+		l := vm.stack[len(vm.stack)-len(t.fields):]
+		for i, f := range t.fields {
+			o.l[f] = l[i]
+		}
+		vm.stack = vm.stack[:len(vm.stack)-len(t.fields)]
+		vm.push(Value{o: o})
+	case opIndexMap:
+		k, m := vm.pop(), vm.pop()
+		vm.spend(4)
+		i, ok := m.o.find(k)
+		if !ok {
+			vm.fault(FaultKey, "no entry at %s: ask with in, or get(map, key, otherwise)", keyText(k))
+		}
+		vm.push(m.o.l[i])
+	case opSetList:
+		v, i := vm.pop(), vm.pop().n
+		o := vm.own(base, in)
+		if i < 0 || i >= int64(len(o.l)) {
+			vm.fault(FaultIndex, "entry %d of %d", i, len(o.l))
+		}
+		o.l[i] = v.share()
+	case opSetMap:
+		v, k := vm.pop(), vm.pop()
+		vm.put(vm.own(base, in), k, v)
+	case opPush:
+		v := vm.pop()
+		o := vm.own(base, in)
+		vm.size(len(o.l) + 1)
+		vm.alloc(32)
+		o.l = append(o.l, v.share())
+	case opRemove:
+		k := vm.pop()
+		o := vm.own(base, in)
+		if i, ok := o.find(k); ok {
+			vm.spend(4 + int64(len(o.keys)-i)/8)
+			o.keys, o.l = slices.Delete(o.keys, i, i+1), slices.Delete(o.l, i, i+1)
+		}
+	case opIterate:
+		v := vm.pop()
+		v.share()
+		vm.stack[base+int(in.a)+1] = v.share() // twice: a change of the variable leaves what is run over
+		vm.stack[base+int(in.a)+2] = Value{}
+	case opNextMap:
+		o, cur := vm.stack[base+int(in.b)+1].o, &vm.stack[base+int(in.b)+2]
+		if cur.n >= int64(len(o.keys)) {
+			return int(in.a)
+		}
+		if k := code[pc].a; k >= 0 {
+			vm.stack[base+int(k)] = o.keys[cur.n]
+			vm.stack[base+int(in.b)] = o.l[cur.n].share()
+		} else {
+			vm.stack[base+int(in.b)] = o.keys[cur.n]
+		}
+		cur.n++
+		return pc + 1
+	case opRange:
+		to, from := vm.pop(), vm.pop()
+		vm.stack[base+int(in.a)+1], vm.stack[base+int(in.a)+2] = from, to
+	case opBuiltin:
+		n := int(in.b & 0xff)
+		v := vm.p.natives[in.a](vm, vm.stack[len(vm.stack)-n:])
+		vm.stack = vm.stack[:len(vm.stack)-n]
+		if in.b>>8 != 0 {
+			vm.push(v)
+		}
+	case opSort:
+		o := vm.clone(vm.pop().o)
+		vm.push(Value{o: o}) // where a fault's stack looks, and nothing else does
+		vm.merge(vm.p.funcs[in.a], o.l, make([]Value, len(o.l)))
+		vm.stack[len(vm.stack)-1] = Value{o: o}
+	case opRun:
+		vm.push(vm.runs(in, vm.pop()))
+	default:
+		panic(fmt.Sprintf("hook: no such instruction: %d", in.op))
+	}
+	return pc
+}
+
+func keyText(k Value) string {
+	if k.o != nil {
+		return quote(cut(k.o.s, 80))
+	}
+	return fmt.Sprint(k.n)
+}
+
+func (vm *VM) put(o *object, k, v Value) {
+	i, ok := o.find(k)
+	vm.spend(4)
+	if ok {
+		o.l[i] = v.share()
+		return
+	}
+	vm.size(len(o.l) + 1)
+	vm.spend(int64(len(o.keys)-i) / 8)
+	vm.alloc(64)
+	o.keys, o.l = slices.Insert(o.keys, i, k), slices.Insert(o.l, i, v.share())
+}
+
+// merge sorts stably. Which entries are compared depends on the answers, how many never does by more than n log n: a
+// comparison that contradicts itself gives some order, and ends.
+func (vm *VM) merge(less *function, l, tmp []Value) {
+	if len(l) < 2 {
+		return
+	}
+	m := len(l) / 2
+	vm.merge(less, l[:m], tmp[:m])
+	vm.merge(less, l[m:], tmp[m:])
+	copy(tmp, l)
+	a, b := tmp[:m], tmp[m:len(l)]
+	for i := range l {
+		if len(a) == 0 || len(b) > 0 && vm.exec(less, []Value{b[0], a[0]}).n != 0 {
+			l[i], b = b[0], b[1:]
+		} else {
+			l[i], a = a[0], a[1:]
+		}
+	}
+}
+
+// runs is run in a test: a handler gets fuel of its own, state goes on from run to run, and what it advises is returned.
+func (vm *VM) runs(in instr, event Value) Value {
+	var h *handler
+	for _, pt := range Points {
+		if k := vm.p.handlers[pt.Name]; k != nil && k.fn == int(in.a) {
+			h = k
+		}
+	}
+	lim := Aside
+	if h.point.Inline {
+		lim = Inline
+	}
+	in2 := NewVM()
+	in2.Trace = vm.Trace
+	res, err := in2.again(vm.p, h, event, &State{vm.p, vm.state}, vm.env, lim)
+	if err != nil {
+		panic(faulted{err.(*Fault)})
+	}
+	vm.spend(res.Fuel)
+	vm.state = res.State.values
+	o := &object{box: true}
+	for _, a := range res.Advice {
+		o.l = append(o.l, a.value())
+	}
+	vm.list(int64(len(o.l)))
+	return Value{o: o}
+}
+
+func (vm *VM) again(p *Program, h *handler, event Value, st *State, env Env, lim Limits) (Result, error) {
+	vm.start(p, st, env, lim)
+	err := vm.guard(p, func() {
+		vm.exec(p.funcs[h.fn], []Value{event})
+		vm.settle()
+	})
+	return Result{Advice: vm.advice, State: vm.left(st), Fuel: lim.Fuel - vm.fuel}, err
+}
