choice takes advice: copies wanted, workers regarded, calls unwanted, tenants' weights

Hooks advise, the module decides. Two events are new (Wanted, Regarded) and two fields of Arrival (Unwanted, Weight). Copies that are wanted are ordered one at a worker at a time, within half of the load budget, none where copies are pushed out already, and renewed as those of calls are. A preferred worker has a longer arc of the ring, an avoided one comes last in each walk; both are still workers like any other where nothing else is left. An unwanted call is refused if it was never sent; a weight bends the share let pass. None of it reaches a drained worker or goes over a limit.

--- /dev/null
+++ b/choice/advice_test.go
@@ -0,0 +1,137 @@
+package choice
+
+import (
+	"testing"
+	"time"
+)
+
+func TestAdvisedCopiesStand(t *testing.T) {
+	d := start(t, base(), ready(1, 2, 3, 4)...)
+	begin := d.Step(2*time.Second, []Event{Wanted{Function: 7, Copies: 2, Until: 40 * time.Second}})
+	holds := map[WorkerID]int{}
+	var out []Hold
+	take := func(l []Action) {
+		for _, h := range pickOut[Hold](l) {
+			holds[h.Worker]++
+			out = append(out, h)
+		}
+	}
+	take(begin)
+	most := time.Duration(0)
+	for now := 2 * time.Second; now < 60*time.Second; now += 100 * ms {
+		var in []Event
+		for _, h := range out {
+			in = append(in, Held{Worker: h.Worker, Function: h.Function, Outcome: OK, Copies: 1})
+			most = now
+		}
+		out = nil
+		take(d.Step(now, in))
+	}
+	if len(holds) != 2 {
+		t.Errorf("copies at %v: two workers are wanted", holds)
+	}
+	for w, n := range holds {
+		if n < 5 || n > 10 { // 38 s, renewed every 4.8 s
+			t.Errorf("%d orders at %d", n, w)
+		}
+	}
+	if most > 41*time.Second {
+		t.Errorf("an order at %v, after its time", most)
+	}
+}
+
+func TestAdviceKeepsBudget(t *testing.T) {
+	s := base()
+	s.Loading.Window, s.Loading.Free, s.Loading.Ratio = 10*time.Second, 8, 0
+	d := start(t, s, ready(1, 2, 3, 4)...)
+	var in []Event
+	for f := range 100 {
+		in = append(in, Wanted{Function: FunctionID(f + 1), Copies: 4, Until: time.Hour})
+	}
+	n, first := 0, 0
+	for now := 2 * time.Second; now < 12*time.Second; now += 100 * ms {
+		l := pickOut[Hold](d.Step(now, in))
+		if in = nil; n == 0 {
+			first = len(l)
+		}
+		n += len(l)
+		for _, h := range l {
+			in = append(in, Held{Worker: h.Worker, Function: h.Function, Outcome: OK, Copies: 1})
+		}
+	}
+	if first != 4 || n != 4 {
+		t.Errorf("%d orders at once, %d in a window of 8: four are for advice", first, n)
+	}
+	if !d.mayOrder() {
+		t.Error("calls have none left")
+	}
+}
+
+func TestAdviceNeverReachesDrained(t *testing.T) {
+	d := start(t, base(), ready(1, 2)...)
+	d.Step(2*time.Second, []Event{Regarded{Worker: 1, Rank: 1, Until: time.Hour}, Wanted{Function: 7, Copies: 2, Until: time.Hour}})
+	drained := ready(1, 2)
+	drained[0].State = Draining
+	for now := 2 * time.Second; now < 30*time.Second; now += 100 * ms {
+		for _, h := range pickOut[Hold](d.Step(now, []Event{List{Kind: Whole, Workers: drained}, Arrival{Request: RequestID(now), Function: 7, Expires: time.Second, Lanes: 2}})) {
+			if h.Worker == 1 {
+				t.Fatal("an order to a drained worker")
+			}
+		}
+	}
+}
+
+func TestRegardedWorkers(t *testing.T) {
+	d := start(t, base(), ready(1, 2, 3, 4)...)
+	q := d.queue(7)
+	home := d.walk(q)[0].ID
+	d.Step(2*time.Second, []Event{Regarded{Worker: home, Rank: -1, Until: 5 * time.Second}})
+	if l := d.walk(q); l[3].ID != home {
+		t.Errorf("an avoided worker is not the last of the walk")
+	}
+	points := func(id WorkerID) (n int) {
+		for _, p := range d.ring {
+			if p.w.ID == id {
+				n++
+			}
+		}
+		return n
+	}
+	before := points(home)
+	d.Step(5*time.Second, []Event{Regarded{Worker: home, Rank: 1, Until: 8 * time.Second}})
+	if d.walk(q)[0].ID != home || points(home) <= before {
+		t.Error("a preferred worker has no longer arc")
+	}
+	d.Step(8*time.Second, nil)
+	if points(home) != before || d.walk(q)[0].ID != home {
+		t.Error("advice outlives its time")
+	}
+	for _, w := range []WorkerID{1, 2, 3, 4} { // of all alike: no worker is better than another
+		d.Step(9*time.Second, []Event{Regarded{Worker: w, Rank: -1, Until: time.Hour}})
+	}
+	if d.walk(q)[0].ID != home || len(pickOut[Send](d.Step(10*time.Second, []Event{arrival(1, 0, 7)}))) != 1 {
+		t.Error("a call is not sent where all workers are to be avoided")
+	}
+}
+
+func TestUnwantedAndWeight(t *testing.T) {
+	d := start(t, base(), ready(1, 2)...)
+	a := arrival(1, 0, 7)
+	a.Unwanted = true
+	l := d.Step(2*time.Second, []Event{a, arrival(2, 0, 7)})
+	if r, s := pickOut[Refuse](l), pickOut[Send](l); len(r) != 1 || r[0].Request != 1 || len(s) != 1 || s[0].Request != 2 {
+		t.Errorf("%v", l)
+	}
+	d.pass = 0.25
+	pass := [3]int{}
+	for i := range 4000 {
+		for k, w := range []float64{0.5, 0, 2} {
+			if d.passes(&request{Arrival: Arrival{Request: RequestID(i), Weight: w}}) {
+				pass[k]++
+			}
+		}
+	}
+	if pass[0] > 350 || pass[1] < 900 || pass[1] > 1100 || pass[2] < 1850 || pass[2] > 2150 {
+		t.Errorf("%v of 4000 pass: 1/16, 1/4 and 1/2 are wanted", pass)
+	}
+}
--- a/choice/api.go
+++ b/choice/api.go
@@ -209,7 +209,8 @@
 	LoadFailed      // with Miss or Error: a load failed
 )
 
-// An Event is one of List, Arrival, Started, Returned, HungUp, Timer, Probed, Message, Held and Staged.
+// An Event is one of List, Arrival, Started, Returned, HungUp, Timer, Probed, Message, Held, Staged, Wanted and
+// Regarded.
 type Event interface{ event() }
 
 // ListKind says what a List is.
@@ -244,6 +245,8 @@
 	Retry    bool
 	Again    bool // the instance has taken it before, under another function: it earns no load anew
 	Write    bool
+	Unwanted bool    // advised to be refused
+	Weight   float64 // of its tenant, where fewer than all pass; 0: 1
 }
 
 // Started says that a streamed answer has begun.
@@ -302,6 +305,22 @@
 	Copies   int
 }
 
+// Wanted advises that copies of a function stand until a time, called or not. It replaces what was said before.
+type Wanted struct {
+	Function FunctionID
+	Copies   int // 0: no longer
+	Until    time.Duration
+}
+
+// Regarded advises how a worker is to be looked at until a time. It replaces what was said before.
+type Regarded struct {
+	Worker WorkerID
+	Rank   int // above 0: rather than others; below: after all others; 0: as any
+	Until  time.Duration
+}
+
+func (Wanted) event()   {}
+func (Regarded) event() {}
 func (List) event()     {}
 func (Staged) event()   {}
 func (Arrival) event()  {}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -49,6 +49,9 @@
 	passRepeat  = 3.0  // power of the share for a client's repeat: served last where few pass
 	passForget  = 60.0 // deadlines after which a controller with no answers lets all pass again
 	passLow     = 0.05 // the least: enough to see that it is over
+	wantPart    = 0.5  // of the load budget that advice may use: calls need the rest
+	wantCrowded = 0.1  // share of copies pushed out above which nothing more is loaded on advice alone
+	preferArc   = 1.5  // of its arc, for a worker that is advised rather than others
 	graceTicks  = 2    // ticks kept for our own answer before the deadline
 )
 
@@ -88,12 +91,20 @@
 			d.answered(d.workers[e.Worker], e.Outcome)
 		case Staged:
 			d.stage(e)
+		case Wanted:
+			d.wanted = replace(d.wanted, e, func(o Wanted) uint64 { return uint64(o.Function) },
+				e.Copies > 0)
+		case Regarded:
+			d.regarded = replace(d.regarded, e, func(o Regarded) uint64 { return uint64(o.Worker) },
+				e.Rank != 0)
 		}
 	}
+	d.regard()
 	d.sweep()
 	d.health()
 	d.dispatch()
 	d.renew()
+	d.warmUp()
 	d.wake()
 	return d.out
 }
@@ -171,10 +182,13 @@
 // last. It could hurt where sending less mends nothing: a load is allowed for, an error does not count.
 func (d *Dispatcher) passes(r *request) bool {
 	share := d.pass
+	if r.Weight > 0 {
+		share = math.Pow(share, 1/r.Weight)
+	}
 	if r.Retry {
 		share = math.Pow(share, passRepeat)
 	}
-	return len(r.tries) > 0 || unit(mix(^uint64(r.Request))) < share
+	return len(r.tries) > 0 || !r.Unwanted && unit(mix(^uint64(r.Request))) < share
 }
 
 // judge follows the share let pass, by each request that was sent: once, when it is answered or late.
@@ -269,7 +283,7 @@
 	for _, q := range d.active {
 		if idle := d.now - max(q.last, q.lastExec); len(q.pending) == 0 && q.inFlight == 0 {
 			q.active = q.active && idle < d.ttl(q)
-			if idle > d.ttl(q)+d.s.Loading.IdleLife+d.s.Guarantees.ColdFor {
+			if idle > d.ttl(q)+d.s.Loading.IdleLife+d.s.Guarantees.ColdFor && q.wanted <= d.now {
 				delete(d.queues, q.fn)
 				continue
 			}
@@ -312,6 +326,13 @@
 
 // weight is a worker's share of the ring: the memory of its kind where told, as that bounds its copies.
 func (d *Dispatcher) weight(w *worker) float64 {
+	if w.rank > 0 {
+		return preferArc * d.memory(w)
+	}
+	return d.memory(w)
+}
+
+func (d *Dispatcher) memory(w *worker) float64 {
 	if m := d.s.Loading.MemoryMB; w.Kind >= 0 && w.Kind < len(m) && m[w.Kind] > 0 {
 		return m[w.Kind]
 	}
@@ -332,6 +353,9 @@
 			q.pref = append(q.pref, w)
 		}
 	}
+	slices.SortStableFunc(q.pref, func(a, b *worker) int {
+		return cmp.Compare(min(b.rank, 0), min(a.rank, 0))
+	})
 	return q.pref
 }
 
@@ -908,7 +932,8 @@
 func (d *Dispatcher) renew() {
 	after := time.Duration(renewAfter * float64(d.s.Loading.IdleLife))
 	for _, q := range d.active {
-		if !q.active || len(q.pending) > 0 || q.inFlight > 0 || d.now-max(q.lastExec, q.renewed) < after {
+		if !q.active || q.wanted > d.now || len(q.pending) > 0 || q.inFlight > 0 ||
+			d.now-max(q.lastExec, q.renewed) < after {
 			continue
 		}
 		for _, w := range d.walk(q) {
@@ -923,6 +948,75 @@
 	}
 }
 
+// Advice. It chooses among what may be done anyway: never a drained worker, nor an order over the budget.
+
+func replace[T any](l []T, e T, id func(T) uint64, keep bool) []T {
+	i, found := slices.BinarySearchFunc(l, id(e), func(o T, k uint64) int { return cmp.Compare(id(o), k) })
+	if found {
+		l = slices.Delete(l, i, i+1)
+	}
+	if keep {
+		l = slices.Insert(l, i, e)
+	}
+	return l
+}
+
+// regard has the ranks that are advised now: a preferred worker has a longer arc of the ring, an avoided one
+// comes last in every walk.
+func (d *Dispatcher) regard() {
+	d.regarded = slices.DeleteFunc(d.regarded, func(r Regarded) bool { return r.Until <= d.now })
+	changed := false
+	for _, w := range d.order {
+		rank := 0
+		if i := slices.IndexFunc(d.regarded, func(r Regarded) bool { return r.Worker == w.ID }); i >= 0 {
+			rank = d.regarded[i].Rank
+		}
+		changed = changed || rank != w.rank
+		w.rank = rank
+	}
+	if changed {
+		d.buildRing()
+	}
+}
+
+// warmUp orders the copies that are advised: one order at a worker at a time, within its part of the budget,
+// and none where copies are pushed out already. A copy that stands is renewed as one that calls keep.
+func (d *Dispatcher) warmUp() {
+	d.wanted = slices.DeleteFunc(d.wanted, func(e Wanted) bool { return e.Until <= d.now })
+	after := time.Duration(renewAfter * float64(d.s.Loading.IdleLife))
+	for _, order := range []bool{false, true} {
+		for _, e := range d.wanted {
+			q := d.queue(e.Function)
+			q.wanted = e.Until
+			for _, w := range d.walk(q) {
+				if e.Copies == 0 {
+					break
+				} else if !d.ready(w) {
+					continue
+				}
+				sp := q.spot(w)
+				switch {
+				case sp.ordered > 0:
+					w.warming = max(d.now, 1)
+				case d.warm(sp, w) && (sp.out > 0 || d.now-max(sp.seen, sp.since) < after):
+				case d.now < w.loadTo:
+					continue // the next of the ring may have room
+				case order && w.warming != max(d.now, 1) && d.mayWarm() && d.hold(w, q.fn, 1):
+					w.warming = max(d.now, 1)
+				}
+				e.Copies--
+			}
+		}
+	}
+}
+
+// mayWarm tells whether advice may use more of the load budget.
+func (d *Dispatcher) mayWarm() bool {
+	l := d.s.Loading
+	most := wantPart * (l.Free + l.Ratio*float64(len(d.arrivals)))
+	return d.crowded < wantCrowded && d.mayOrder() && (l.Window == 0 || float64(len(d.orders)+1) <= most)
+}
+
 // The list of workers.
 
 func (d *Dispatcher) list(l List) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -31,6 +31,8 @@
 	paces     []float64       // scratch
 	arrivals  []time.Duration // within the load window
 	orders    []time.Duration
+	wanted    []Wanted   // by function
+	regarded  []Regarded // by worker
 }
 
 type point struct {
@@ -59,6 +61,8 @@
 	credit    float64       // seconds of run time that may go to it while it is cold
 	creditAt  time.Duration // when credit was last added
 	served    float64       // Dispatcher.served then
+	rank      int           // as advised
+	warming   time.Duration // the step in which an advised order was seen to be out there
 	even      float64       // run time a second that this controller has answered for a worker, while it is cold
 	fn        FunctionID
 }
@@ -74,6 +78,7 @@
 	last     time.Duration
 	lastExec time.Duration
 	renewed  time.Duration
+	wanted   time.Duration // copies are advised until then
 	active   bool
 	pref     []*worker
 	prefAge  int
--- a/hook/check.go
+++ b/hook/check.go
@@ -472,7 +472,7 @@
 	c.push()
 	v := c.declare(s.pos, s.name, elem)
 	s.slot, v.used = v.ref.n, true // to count is use enough
-	c.next += 2 // what is run over, and where it stands
+	c.next += 2                    // what is run over, and where it stands
 	c.fn.slots = max(c.fn.slots, c.next)
 	if s.key != "" {
 		v := c.declare(s.pos, s.key, key)
--- a/hook/parser.go
+++ b/hook/parser.go
@@ -35,8 +35,8 @@
 	return s, p.bad
 }
 
-func (p *parser) over() bool   { return p.toks[p.i].kind == tEOF || len(p.bad) >= maxProblems }
-func (p *parser) tok() token   { return p.toks[p.i] }
+func (p *parser) over() bool { return p.toks[p.i].kind == tEOF || len(p.bad) >= maxProblems }
+func (p *parser) tok() token { return p.toks[p.i] }
 func (p *parser) is(s string) bool {
 	t := p.toks[p.i]
 	return t.kind == tSign && t.text == s
--- a/hook/value.go
+++ b/hook/value.go
@@ -51,8 +51,10 @@
 	return (a.elem == nil || same(a.elem, b.elem)) && (a.key == nil || same(a.key, b.key))
 }
 
-func (t *Type) box() bool     { return t.name == "list" || t.name == "map" }
-func (t *Type) ordered() bool { return t == tyInt || t == tyFloat || t == tyDur || t == tyStr || t == tyBad }
+func (t *Type) box() bool { return t.name == "list" || t.name == "map" }
+func (t *Type) ordered() bool {
+	return t == tyInt || t == tyFloat || t == tyDur || t == tyStr || t == tyBad
+}
 
 // A Record is a type of the host's: fields by name, not to be changed.
 type Record struct {
