--- /dev/null
+++ b/advice/advice_test.go
@@ -0,0 +1,222 @@
+package advice
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kitehub/hook"
+)
+
+type facts struct{}
+
+func (facts) Function(n string) (float64, bool) { return 100, strings.HasPrefix(n, "f") }
+func (facts) Tenant(n string) bool              { return n == "t" || n == "u" }
+
+func table(t interface {
+	Helper()
+	Fatal(...any)
+}, s Settings) *Table {
+	t.Helper()
+	s.Cap = 100
+	b, err := New(s, facts{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l []Worker
+	for i := range 8 {
+		l = append(l, Worker{fmt.Sprint("w", i), i != 7, 1000})
+	}
+	b.Step(0, []Event{Workers{l}, Live{"a", 1}, Live{"b", 1}})
+	return b
+}
+
+func warm(f string, n int64, d time.Duration) hook.Advice {
+	return hook.Advice{Kind: "keep_warm", Function: f, Copies: n, For: d}
+}
+
+func by(script string, l ...hook.Advice) Event { return Offered{script, 1, l} }
+
+func show(l []Effect) string {
+	var s []string
+	for _, e := range l {
+		if d, ok := e.(Dropped); ok {
+			s = append(s, "dropped: "+d.Why)
+			continue
+		}
+		s = append(s, strings.TrimPrefix(fmt.Sprintf("%T%+v", e, e), "advice."))
+	}
+	return strings.Join(s, "\n")
+}
+
+const sec = time.Second
+
+// Each line: what is said, and what comes of it.
+func TestTable(t *testing.T) {
+	rank := func(kind, w string) hook.Advice { return hook.Advice{Kind: kind, Worker: w, For: 10 * sec} }
+	tenant := func(kind, n string, f float64) hook.Advice {
+		return hook.Advice{Kind: kind, Tenant: n, Factor: f, For: 10 * sec}
+	}
+	for _, c := range []struct {
+		name string
+		in   []Event
+		want string
+	}{
+		{"copies", []Event{by("a", warm("f1", 2, 10*sec))}, "Warm{Function:f1 Copies:2 Until:10s}"},
+		{"of two scripts the most, until the latest", []Event{by("a", warm("f1", 3, 10*sec)), by("b", warm("f1", 2, 20*sec))}, "Warm{Function:f1 Copies:3 Until:20s}"},
+		{"too many copies, too long", []Event{by("a", warm("f1", 1<<40, 1e6*sec))}, "Warm{Function:f1 Copies:4 Until:1h0m0s}"},
+		{"below zero", []Event{by("a", warm("f1", -3, 10*sec), warm("f2", 1, -sec))}, ""},
+		{"withdrawn", []Event{by("a", warm("f1", 2, 10*sec)), by("a", warm("f1", 0, sec))}, ""},
+		{"no such function", []Event{by("a", warm("x", 2, 10*sec))}, "dropped: no such function"},
+		{"more than memory", []Event{by("a", warm("f1", 4, sec), warm("f2", 4, sec), warm("f3", 4, sec), warm("f4", 4, sec), warm("f5", 4, sec))},
+			"Warm{Function:f1 Copies:4 Until:1s}\nWarm{Function:f2 Copies:4 Until:1s}\nWarm{Function:f3 Copies:4 Until:1s}\nWarm{Function:f4 Copies:4 Until:1s}\nWarm{Function:f5 Copies:1 Until:1s}"},
+		{"avoided", []Event{by("a", rank("avoid", "w1"))}, "Regard{Worker:w1 Rank:-1 Until:10s}"},
+		{"avoided and preferred", []Event{by("a", rank("prefer", "w1")), by("b", rank("avoid", "w1"))}, "Regard{Worker:w1 Rank:-1 Until:10s}"},
+		{"one that drains", []Event{by("a", rank("prefer", "w7"))}, "dropped: the worker drains"},
+		{"no such worker", []Event{by("a", rank("avoid", "w9"))}, "dropped: no such worker"},
+		{"more than a share", []Event{by("a", rank("avoid", "w1"), rank("avoid", "w2"), rank("avoid", "w3"), rank("avoid", "w4"))},
+			"Regard{Worker:w1 Rank:-1 Until:10s}\nRegard{Worker:w2 Rank:-1 Until:10s}"},
+		{"weights and caps", []Event{by("a", tenant("tenant_weight", "t", 100), tenant("tenant_cap", "t", 0.2), tenant("tenant_cap", "u", 1e-9)), by("b", tenant("tenant_weight", "t", 0.5))},
+			"Tenants{By:map[t:{Weight:0.5 Most:20} u:{Weight:0 Most:1}]}"},
+		{"no such tenant", []Event{by("a", tenant("tenant_weight", "x", 2))}, "dropped: no such tenant"},
+		{"no weight at all", []Event{by("a", tenant("tenant_weight", "t", 0))}, "dropped: 0 is not above 0"},
+		{"an old version", []Event{Live{"a", 2}, by("a", warm("f1", 2, 10*sec))}, "dropped: of version 1, which is not heard"},
+		{"a script that is not heard", []Event{by("c", warm("f1", 2, 10*sec))}, "dropped: of version 1, which is not heard"},
+		{"what cannot stand", []Event{by("a", hook.Advice{Kind: "send"})}, "dropped: send does not stand"},
+		{"a script that ends", []Event{by("a", warm("f1", 2, 10*sec)), Ended{"a"}}, ""},
+		{"a notice", []Event{by("a", hook.Advice{Kind: "notify", Key: "ops", Text: "x"})}, "Notice{Script:a Target:ops Text:x}"},
+	} {
+		if got := show(table(t, Settings{}).Step(0, c.in)); got != c.want {
+			t.Errorf("%s:\n%s\nwanted:\n%s", c.name, got, c.want)
+		}
+	}
+}
+
+func TestExpiryAndWorkers(t *testing.T) {
+	b := table(t, Settings{})
+	b.Step(0, []Event{by("a", warm("f1", 2, 10*sec), hook.Advice{Kind: "prefer", Worker: "w1", For: 20 * sec})})
+	if b.Next() != 10*sec {
+		t.Error(b.Next())
+	}
+	if got := show(b.Step(10*sec, nil)); got != "Warm{Function:f1 Copies:0 Until:0s}" {
+		t.Error(got)
+	}
+	if got := show(b.Step(11*sec, []Event{Workers{[]Worker{{"w1", false, 1000}, {"w2", true, 1000}, {"w3", true, 0}, {"w4", true, 0}}}})); got != "Regard{Worker:w1 Rank:0 Until:0s}" {
+		t.Error(got)
+	}
+}
+
+// Advice that flips at each event is set aside, for longer each time; another piece of the script is still heard.
+func TestFlips(t *testing.T) {
+	b := table(t, Settings{})
+	changes, now := 0, time.Duration(0)
+	for i := range 2000 {
+		now = time.Duration(i) * sec
+		for _, e := range b.Step(now, []Event{by("a", warm("f1", int64(1+i%2), time.Hour))}) {
+			if _, ok := e.(Warm); ok {
+				changes++
+			}
+		}
+	}
+	if changes > 60 || changes < 6 {
+		t.Errorf("%d changes of 2000 are followed", changes)
+	}
+	if got := show(b.Step(now, []Event{by("a", warm("f2", 1, sec))})); got != "Warm{Function:f2 Copies:1 Until:33m20s}" {
+		t.Error(got)
+	}
+}
+
+// Whatever is advised, what holds stays within the bounds, and is the same in any order of the scripts' offers.
+func TestBounds(t *testing.T) {
+	kinds := []string{"keep_warm", "tenant_weight", "tenant_cap", "prefer", "avoid", "refuse", "notify", "", "send"}
+	rapid.Check(t, func(t *rapid.T) {
+		s := Settings{Functions: 3, Copies: 3, MemoryShare: 0.2, Workers: 0.3, Longest: 30 * sec, Pieces: 20}
+		b := table(t, s)
+		held := map[string]Warm{}
+		ranks := map[string]Regard{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond
+			var l []hook.Advice
+			for range rapid.IntRange(0, 6).Draw(t, "items") {
+				l = append(l, hook.Advice{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Function: fmt.Sprint("f", rapid.IntRange(0, 9).Draw(t, "f")),
+					Copies: rapid.Int64Range(-2, 9).Draw(t, "copies"), For: time.Duration(rapid.Int64().Draw(t, "for"))})
+				if k := l[len(l)-1].Kind; k == "prefer" || k == "avoid" {
+					l[len(l)-1].Function, l[len(l)-1].Worker = "", fmt.Sprint("w", rapid.IntRange(0, 9).Draw(t, "w"))
+				}
+			}
+			for _, e := range b.Step(now, []Event{by(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "script"), l...)}) {
+				switch e := e.(type) {
+				case Warm:
+					held[e.Function] = e
+					if e.Copies == 0 {
+						delete(held, e.Function)
+					}
+				case Regard:
+					ranks[e.Worker] = e
+				}
+			}
+			copies := 0
+			for _, w := range held {
+				if copies += w.Copies; w.Copies > 3 || w.Until <= now || w.Until > now+30*sec {
+					t.Fatalf("%+v at %v", w, now)
+				}
+			}
+			var up, down int
+			for _, r := range ranks {
+				if r.Rank > 0 {
+					up++
+				} else if r.Rank < 0 {
+					down++
+				}
+			}
+			if len(held) > 3 || copies*100 > 1400 || up > 2 || down > 2 || ranks["w7"].Rank > 0 {
+				t.Fatalf("%v %v", held, ranks)
+			}
+			if len(b.Standing()) != len(held)+up+down {
+				t.Fatalf("%s stands, told were %v %v", show(b.Standing()), held, ranks)
+			}
+		}
+	})
+}
+
+func TestDoor(t *testing.T) {
+	d := NewDoor(Settings{})
+	d.Set(Tenants{map[string]Tenant{"t": {Weight: 2, Most: 3}}})
+	no := []hook.Advice{{Kind: "refuse", Text: "x"}}
+	refused, over := 0, 0
+	for i := range 1000 { // a script that refuses all
+		v := d.Arrive(time.Duration(i)*10*time.Millisecond, "u", no)
+		if v.Unwanted {
+			refused++
+		}
+		if v.Over {
+			over++
+		}
+		d.Left("u")
+	}
+	if refused < 490 || refused > 510 || over != 1000-refused {
+		t.Errorf("%d refused, %d over the bound, of 1000", refused, over)
+	}
+	var got []bool
+	for range 5 {
+		v := d.Arrive(11*sec, "t", nil)
+		got = append(got, v.Unwanted)
+		if v.Weight != 2 {
+			t.Error(v)
+		}
+	}
+	if !slices.Equal(got, []bool{false, false, false, true, true}) {
+		t.Error(got)
+	}
+	d.Left("t")
+	d.Left("t")
+	d.Left("t")
+	if v := d.Arrive(12*sec, "t", []hook.Advice{{Kind: "annotate", Key: "k"}}); v.Unwanted || len(v.Notes) != 1 {
+		t.Error(v)
+	}
+}
--- /dev/null
+++ b/advice/door.go
@@ -0,0 +1,85 @@
+package advice
+
+import (
+	"time"
+
+	"kitehub/hook"
+)
+
+// A Door judges calls as they arrive, by what hooks say of them and what stands for their tenants. Like the Table it is pure,
+// and it is not safe for concurrent use.
+type Door struct {
+	s       Settings
+	tenants map[string]Tenant
+	open    map[string]int // calls in hand by tenant
+	// Calls and refusals in this window and the one before.
+	from          time.Duration
+	calls, denied [2]int
+}
+
+// A Verdict is what becomes of a call before the module sees it.
+type Verdict struct {
+	Unwanted bool
+	Why      string
+	Weight   float64
+	Notes    []hook.Advice // annotations, at most notesKept
+	// Over tells that a hook wanted it refused and the bound on refusals did not let it.
+	Over bool
+}
+
+const (
+	notesKept = 4
+	refuseLow = 10 // refusals in a window that are always let: a share of few calls is none
+)
+
+// NewDoor returns a door that knows of no tenant.
+func NewDoor(s Settings) *Door { return &Door{s: s.filled(), open: map[string]int{}} }
+
+// Set tells what holds for tenants.
+func (d *Door) Set(t Tenants) { d.tenants = t.By }
+
+// Arrive judges a call, and counts it in hand until Left.
+func (d *Door) Arrive(now time.Duration, tenant string, items []hook.Advice) (v Verdict) {
+	if gone := now - d.from; gone >= d.s.Window {
+		d.calls[1], d.denied[1] = d.calls[0], d.denied[0]
+		if gone >= 2*d.s.Window {
+			d.calls[1], d.denied[1] = 0, 0
+		}
+		d.calls[0], d.denied[0], d.from = 0, 0, now
+	}
+	d.calls[0]++
+	t := d.tenants[tenant]
+	v.Weight = t.Weight
+	for _, a := range items {
+		switch a.Kind {
+		case "refuse":
+			if !v.Unwanted {
+				v.Unwanted, v.Why = true, "hook: "+a.Text
+			}
+		case "annotate":
+			if len(v.Notes) < notesKept {
+				v.Notes = append(v.Notes, a)
+			}
+		}
+	}
+	if v.Unwanted { // by a script: a tenant's cap is no one's whim, and has no bound
+		n := d.denied[0] + d.denied[1] + 1
+		if n > refuseLow && float64(n) > d.s.Refuse*float64(d.calls[0]+d.calls[1]) {
+			v.Unwanted, v.Why, v.Over = false, "", true
+		} else {
+			d.denied[0]++
+		}
+	}
+	if t.Most > 0 && d.open[tenant] >= t.Most && !v.Unwanted {
+		v.Unwanted, v.Why = true, "the tenant's cap"
+	}
+	d.open[tenant]++
+	return v
+}
+
+// Left says that a call was answered.
+func (d *Door) Left(tenant string) {
+	if d.open[tenant]--; d.open[tenant] <= 0 {
+		delete(d.open, tenant)
+	}
+}
--- /dev/null
+++ b/choice/look.go
@@ -0,0 +1,98 @@
+package choice
+
+import (
+	"slices"
+	"time"
+)
+
+// Look is how a worker and a function look to the dispatcher, for people to read. Nothing is decided by it.
+type Look struct {
+	Place    int     // of the worker in the function's walk: 0 is its home; -1: not on the ring
+	Ring     int     // workers on the ring
+	Ready    bool    // may be sent something new
+	Ejected  bool    // off the ring for failures
+	Cold     bool    // started not long ago: held to its share
+	Warm     bool    // a copy is believed to stand
+	Rank     int     // as advised
+	Tokens   float64 // of the worker
+	Busy     int     // of them, in use
+	Loads    int     // attempts there that may wait for a load
+	Pass     float64 // share of requests let pass
+	Waiting  int     // requests of the function in its queue
+	InFlight int     // and out
+}
+
+// Look returns how a worker and a function look now.
+func (d *Dispatcher) Look(fn FunctionID, id WorkerID) Look {
+	l := Look{Place: -1, Ring: len(d.order), Pass: d.pass}
+	w, q := d.workers[id], d.queues[fn]
+	if q != nil {
+		l.Waiting, l.InFlight = len(q.pending), q.inFlight
+		l.Place = slices.IndexFunc(d.walk(q), func(o *worker) bool { return o.ID == id })
+	}
+	if w == nil {
+		return l
+	}
+	l.Ready, l.Ejected, l.Rank = d.ready(w), w.ejected, w.rank
+	l.Cold = w.coldFrom > 0 && d.now < w.coldFrom+d.s.Guarantees.ColdFor
+	l.Tokens, l.Busy, l.Loads = w.tokens, w.busy, w.loads
+	if q != nil {
+		l.Warm = d.warm(q.spots[w], w)
+	}
+	return l
+}
+
+// WorkerLook is a worker as the dispatcher sees it.
+type WorkerLook struct {
+	ID     WorkerID
+	State  WorkerState
+	Look   Look
+	Heard  time.Duration // since its last answer; -1: none yet
+	Copies int           // functions believed to stand there
+}
+
+// Workers returns all workers, by id.
+func (d *Dispatcher) Workers() (l []WorkerLook) {
+	for _, w := range d.order {
+		x := WorkerLook{ID: w.ID, State: w.State, Look: d.Look(0, w.ID), Heard: -1}
+		if w.heard > 0 {
+			x.Heard = d.now - w.heard
+		}
+		for _, q := range d.active {
+			if d.warm(q.spots[w], w) {
+				x.Copies++
+			}
+		}
+		l = append(l, x)
+	}
+	return l
+}
+
+// FunctionLook is a function as the dispatcher sees it.
+type FunctionLook struct {
+	ID       FunctionID
+	Home     WorkerID // 0: none is ready
+	Waiting  int
+	InFlight int
+	Run      time.Duration // mean; 0: not known
+	Gap      time.Duration // mean time between arrivals; 0: not known
+	Copies   int           // workers where one is believed to stand
+	Wanted   bool          // advised
+}
+
+// Functions returns the functions that are remembered, by id.
+func (d *Dispatcher) Functions() (l []FunctionLook) {
+	for _, q := range d.active {
+		x := FunctionLook{ID: q.fn, Waiting: len(q.pending), InFlight: q.inFlight, Run: seconds(q.run), Gap: seconds(q.gap), Wanted: q.wanted > d.now}
+		for _, w := range d.walk(q) {
+			if x.Home == 0 && d.ready(w) {
+				x.Home = w.ID
+			}
+			if d.warm(q.spots[w], w) {
+				x.Copies++
+			}
+		}
+		l = append(l, x)
+	}
+	return l
+}
--- a/cmd/kitehub/main.go
+++ b/cmd/kitehub/main.go
@@ -22,6 +22,16 @@
 	Config   configCmd   `cmd:"" help:"Configurations."`
 	Key      keyCmd      `cmd:"" help:"Keys of webhooks."`
 	Registry registryCmd `cmd:"" help:"Versions of models, and the aliases that name them."`
+	Hook     hookCmd     `cmd:"" help:"Scripts that advise: check, format, test and try them, and load them into a running controller."`
+
+	Status    statusCmd    `cmd:"" help:"A running controller at a glance."`
+	Workers   workersCmd   `cmd:"" help:"Its workers, as it sees them."`
+	Functions functionsCmd `cmd:"" help:"Its functions, as it sees them."`
+	Hooks     hooksCmd     `cmd:"" help:"Its scripts, and what they advise that stands."`
+	Drain     drainCmd     `cmd:"" help:"Have it take no further call."`
+	Explain   explainCmd   `cmd:"" help:"Why a call went where it went."`
+	Call      callCmd      `cmd:"" help:"Call a function by the second front."`
+	Watch     watchCmd     `cmd:"" help:"Print events as they come."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/kitehub/operate.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"kitehub/controller"
+	"kitehub/front/jsonrpc"
+	"kitehub/gateway"
+	"kitehub/hooks"
+)
+
+// A socket is where a running controller listens for operators.
+type socket struct {
+	Socket string        `required:"" type:"path" env:"KITEHUB_SOCKET" help:"The controller's rpc.socket."`
+	Within time.Duration `default:"5s" help:"How long an answer may take."`
+	JSON   bool          `help:"Print the answer as it came."`
+}
+
+// ask asks one thing and prints it, by show unless --json is given.
+func (s *socket) ask(method string, params, result any, show func()) error {
+	c, err := jsonrpc.Dial(s.Socket, s.Within)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	var raw json.RawMessage
+	if params == nil {
+		params = map[string]any{}
+	}
+	if err := c.Do(method, params, &raw, s.Within); err != nil {
+		return err
+	}
+	if s.JSON || show == nil {
+		var b bytes.Buffer
+		if err := json.Indent(&b, raw, "", "  "); err != nil {
+			return err
+		}
+		fmt.Println(b.String())
+		return nil
+	}
+	if err := json.Unmarshal(raw, result); err != nil {
+		return err
+	}
+	show()
+	return nil
+}
+
+func table(head string, f func(w *tabwriter.Writer)) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, head)
+	f(w)
+	w.Flush()
+}
+
+type statusCmd struct{ socket }
+
+func (s *statusCmd) Run() error {
+	var x controller.Status
+	return s.ask("status", nil, &x, func() {
+		state := "serving"
+		if x.Draining {
+			state = "draining"
+		}
+		fmt.Printf("%s (process %d): %s, %d calls in hand\n", x.Name, x.PID, state, x.Open)
+		a := x.Answers
+		fmt.Printf("served %d, refused %d, failed %d, gone %d, left %d, turned away %d\n", a["served"], a["refused"], a["failed"], a["gone"], a["left"], a["turned"])
+		fmt.Printf("a step takes %.1f us, the module crashed %d times\n", x.StepUS, x.Crashes)
+		if h := x.Hooks; h != nil {
+			fmt.Printf("hooks: %d inline of %d ns, %d aside of %d ns, %d faults; events: %d, dropped %d; calls refused %d, let pass over the bound %d\n",
+				h["inline"], h["inline_ns"], h["aside"], h["aside_ns"], h["faults"], h["posted"], h["dropped"], h["refusals"], h["over"])
+		}
+	})
+}
+
+type workersCmd struct{ socket }
+
+func (s *workersCmd) Run() error {
+	var l []gateway.WorkerView
+	return s.ask("workers", nil, &l, func() {
+		table("WORKER\tSTATE\tTOKENS\tIN USE\tLOADS\tFUNCTIONS\tHEARD\tNOTES", func(w *tabwriter.Writer) {
+			for _, x := range l {
+				var notes []string
+				for _, n := range []struct {
+					on   bool
+					text string
+				}{{x.Look.Cold, "cold"}, {x.Look.Ejected, "ejected"}, {x.Look.Rank > 0, "preferred"}, {x.Look.Rank < 0, "avoided"}} {
+					if n.on {
+						notes = append(notes, n.text)
+					}
+				}
+				heard := "never"
+				if x.Heard >= 0 {
+					heard = x.Heard.Round(time.Millisecond).String() + " ago"
+				}
+				state := map[bool]string{true: "ready", false: "draining"}[x.State == 1]
+				fmt.Fprintf(w, "%s\t%s\t%.1f\t%d\t%d\t%d\t%s\t%s\n", x.Name, state, x.Look.Tokens, x.Look.Busy, x.Look.Loads, x.Copies, heard, strings.Join(notes, ", "))
+			}
+		})
+	})
+}
+
+type functionsCmd struct{ socket }
+
+func (s *functionsCmd) Run() error {
+	var l []gateway.FunctionView
+	return s.ask("functions", nil, &l, func() {
+		table("FUNCTION\tHOME\tWAITING\tOUT\tRUN\tGAP\tCOPIES\tNOTES", func(w *tabwriter.Writer) {
+			for _, x := range l {
+				note := ""
+				if x.Wanted {
+					note = "kept warm by advice"
+				}
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%v\t%v\t%d\t%s\n", x.Name, x.Home, x.Waiting, x.InFlight, x.Run.Round(time.Millisecond), x.Gap.Round(time.Millisecond), x.Copies, note)
+			}
+		})
+	})
+}
+
+type hooksCmd struct{ socket }
+
+func (s *hooksCmd) Run() error {
+	var o hooks.Overview
+	return s.ask("hooks", nil, &o, func() {
+		table("SCRIPT\tSTATUS\tVERSION\tSHADOW\tRUNS\tFAULTS\tLAST FAULT", func(w *tabwriter.Writer) {
+			for _, x := range o.Scripts {
+				shadow := "-"
+				if x.Trial != nil {
+					shadow = fmt.Sprintf("%d: %d runs, %d differ, %d faults", x.Shadow, x.Trial.Runs, x.Trial.Differ, x.Trial.Faults)
+				}
+				fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%d\t%d\t%s\n", x.Name, x.Status, x.Live, shadow, x.Tally.Runs, x.Tally.Faults, x.Fault)
+			}
+		})
+		for _, t := range o.Standing {
+			fmt.Println("stands:", t)
+		}
+		fmt.Printf("events: %d, dropped %d, waiting %d; advice taken %d, set aside %d; calls refused %d, let pass over the bound %d\n", o.Posted, o.Dropped, o.Waiting, o.Taken, o.Aside, o.Refused, o.Over)
+	})
+}
+
+type drainCmd struct{ socket }
+
+func (s *drainCmd) Run() error { return s.ask("drain", nil, nil, nil) }
+
+type explainCmd struct {
+	socket
+	ID string `arg:"" help:"The call's id: its webhook-id, or name:id of the second front."`
+}
+
+func (s *explainCmd) Run() error {
+	var x gateway.Explained
+	return s.ask("explain", map[string]string{"id": s.ID}, &x, func() {
+		how := "in hand"
+		if x.Answer != "" {
+			how = x.Answer
+		}
+		fmt.Printf("%s: %s, %s after %.1f ms\n", x.ID, x.Function, how, x.TookMS)
+		for _, l := range x.Lines {
+			fmt.Println(" ", l)
+		}
+	})
+}
+
+type callCmd struct {
+	socket
+	Function string `arg:"" help:"Name of a function, or model@alias."`
+	Body     string `default:"{}" help:"The body, as JSON."`
+	Key      string `help:"Of a keyed class: a repeat with the same key does not run twice."`
+	Wait     time.Duration
+}
+
+func (s *callCmd) Run() error {
+	if !json.Valid([]byte(s.Body)) {
+		return errors.New("--body is not JSON")
+	}
+	p := map[string]any{"function": s.Function, "body": json.RawMessage(s.Body), "wait_ms": s.Wait.Milliseconds()}
+	if s.Key != "" {
+		p["key"] = s.Key
+	}
+	return s.ask("call", p, nil, nil)
+}
+
+type watchCmd struct {
+	socket
+	Topics []string `arg:"" optional:"" help:"ended, joined, left, load_refused, moved, level; all if none is named."`
+	For    time.Duration
+}
+
+func (s *watchCmd) Run() error {
+	c, err := jsonrpc.Dial(s.Socket, s.Within)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if len(s.Topics) == 0 {
+		s.Topics = []string{"ended", "joined", "left", "load_refused", "moved", "level"}
+	}
+	c.Notice = func(method string, params json.RawMessage) { fmt.Printf("%s %s\n", method, params) }
+	if err := c.Do("subscribe", map[string]any{"topics": s.Topics}, nil, s.Within); err != nil {
+		return err
+	}
+	return c.Listen(s.For)
+}
--- a/cmd/kitehub/serve.go
+++ b/cmd/kitehub/serve.go
@@ -41,22 +41,42 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	c, err := controller.Start(b, controller.Options{Clock: clock.System(), Log: log})
+	reload := make(chan chan error)
+	c, err := controller.Start(b, controller.Options{Clock: clock.System(), Log: log, Reload: func() error {
+		done := make(chan error, 1)
+		reload <- done
+		return <-done
+	}})
 	if err != nil {
 		return err
 	}
 	log.Info().Str("listen", c.Addr()).Msg("serving")
-	for sig := range signals {
-		if sig == syscall.SIGHUP {
-			if err := s.reload(c); err != nil {
-				log.Error().Err(err).Msg("clients not read anew: the old ones stay")
-			} else {
-				log.Info().Msg("clients read anew")
+	again := func() error {
+		err := s.reload(c)
+		if err != nil {
+			log.Error().Err(err).Msg("clients and scripts not all read anew: the old ones stay")
+		} else {
+			log.Info().Msg("clients and scripts read anew")
+		}
+		return err
+	}
+	for run := true; run; {
+		select {
+		case done := <-reload:
+			done <- again()
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				run = false
+				break
 			}
-			continue
+			again()
 		}
-		break
 	}
+	go func() {
+		for done := range reload {
+			done <- errors.New("stopping")
+		}
+	}()
 	log.Info().Int("open", c.Gateway.Open()).Msg("stopping")
 	done := make(chan error, 1)
 	go func() { done <- c.Stop(b.Stop) }()
@@ -80,5 +100,5 @@
 	if err != nil {
 		return err
 	}
-	return c.SetClients(b)
+	return errors.Join(c.SetClients(b), c.SetScripts(b))
 }
--- a/config/build.go
+++ b/config/build.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"os"
 	"path/filepath"
 	"strings"
 	"time"
@@ -13,8 +14,10 @@
 	"kitehub/backend"
 	"kitehub/choice"
 	"kitehub/discovery"
+	"kitehub/front/jsonrpc"
 	"kitehub/front/webhook"
 	"kitehub/gateway"
+	"kitehub/hooks"
 	"kitehub/internal/http1"
 	"kitehub/replay"
 	"kitehub/signing"
@@ -37,8 +40,16 @@
 	Discovery discovery.Config
 	Mark      string
 	Peers     map[int]string
-	Registry  string       // "": none
-	Key       *signing.Key // of this controller there
+	Registry  string        // "": none
+	Key       *signing.Key  // of this controller there
+	Hooks     *hooks.Config // nil: none; without what runs
+	Scripts   []*HookFile
+	Targets   []hooks.Target
+	RPC       *jsonrpc.Config // nil: none; without what runs
+	Socket    string
+	Mode      os.FileMode
+	Explain   int
+	Daemon    *Daemon
 	Level     zerolog.Level
 	NoLines   bool
 	Stop      time.Duration
@@ -113,6 +124,8 @@
 		tenants[t.Name] = i
 	}
 	b.clients(f, c, tenants)
+	b.hooks(f, c)
+	b.rpc(f, c, tenants)
 	b.shells(f, c)
 	for i, p := range c.Peers {
 		if p.Number >= c.Controllers || p.Number == c.Me {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -20,8 +20,11 @@
 	"kitehub/choice"
 	"kitehub/config"
 	"kitehub/discovery"
+	"kitehub/front"
+	"kitehub/front/jsonrpc"
 	"kitehub/front/webhook"
 	"kitehub/gateway"
+	"kitehub/hooks"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
 	"kitehub/registry/agent"
@@ -39,8 +42,12 @@
 	Sink    func(discovery.Sink) discovery.Sink
 	Handler func(http1.Handler) http1.Handler
 	// Models and Versions stand before the registry's view, likewise.
-	Models   func(webhook.Models) webhook.Models
+	Models   func(front.Models) front.Models
 	Versions func(gateway.Versions) gateway.Versions
+	// NoHooks starts without scripts: after a crash loop they may be its cause.
+	NoHooks bool
+	// Reload is what the operators' method reload brings about.
+	Reload func() error
 }
 
 // A Controller runs until Stop or Kill.
@@ -56,6 +63,18 @@
 	peers   *peers
 	agent   *agent.Agent
 	unlock  func() error
+	// Reload, where set, is what operators bring about by the method reload. It is set before the first is served.
+	Reload func() error
+	RPC    *jsonrpc.Server // nil: none
+
+	wc          webhook.Config
+	functions   *gateway.Functions
+	models      *models
+	hooks       *hooks.Engine
+	notifier    *hooks.Notifier
+	tap         tap
+	rpcListener net.Listener
+	draining    atomic.Bool
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{} // to workers, for Kill
@@ -96,7 +115,12 @@
 		}
 		gc.Peers = c.peers
 	}
-	ms := &models{clock: o.Clock}
+	if b.Hooks != nil || b.RPC != nil {
+		gc.Hooks, gc.Explain = &c.tap, b.Explain
+	}
+	c.Reload = o.Reload
+	ms := &models{clock: o.Clock, tap: &c.tap}
+	c.models = ms
 	if b.Registry != "" {
 		gc.Versions = ms
 		if o.Versions != nil {
@@ -110,6 +134,7 @@
 	if err != nil {
 		return err
 	}
+	c.functions = functions
 	wc := b.Webhook
 	if b.Registry != "" {
 		ms.gateway, ms.functions = c.Gateway, functions
@@ -134,6 +159,10 @@
 	if c.ln, err = net.Listen(b.Network, b.Listen); err != nil {
 		return fmt.Errorf("webhook.listen: %w", err)
 	}
+	c.wc = wc
+	if err := c.startHooks(o); err != nil {
+		return err
+	}
 	go c.Gateway.Run()
 	dc := b.Discovery
 	dc.Sink, dc.Log, dc.Dial = c.Gateway, o.Log, c.tracked((&net.Dialer{}).DialContext)
@@ -148,6 +177,9 @@
 	if o.Handler != nil {
 		handler = o.Handler(handler)
 	}
+	if err := c.startRPC(o); err != nil {
+		return err
+	}
 	c.HTTP = &http1.Server{Handler: handler, Limits: b.HTTP, MaxOpen: b.MaxOpen}
 	go func() {
 		if err := c.HTTP.Serve(c.ln); err != nil {
@@ -245,13 +277,17 @@
 	if c.ended.Swap(true) {
 		return nil
 	}
-	c.Front.BeginStop()
+	c.Drain()
 	c.ln.Close()
 	c.watchless()
 	c.Gateway.Stop(within)
 	c.HTTP.Drain(time.Second)
+	if c.RPC != nil {
+		c.RPC.Drain(time.Second)
+	}
 	c.watch.Stop()
 	err := c.Front.Close()
+	c.endHooks()
 	c.Backend.Close()
 	if c.agent != nil {
 		c.agent.Stop()
@@ -263,6 +299,15 @@
 	return err
 }
 
+func (c *Controller) endHooks() {
+	if c.hooks != nil {
+		c.hooks.Close()
+	}
+	if c.notifier != nil {
+		c.notifier.Close()
+	}
+}
+
 // watchless is called first on the way down: the list still matters while calls are out, so it is watched to the end
 // of Stop unless nothing is in hand.
 func (c *Controller) watchless() {
@@ -291,6 +336,12 @@
 	if c.HTTP != nil {
 		c.HTTP.Cut()
 	}
+	if c.RPC != nil {
+		c.RPC.Cut()
+	}
+	if c.rpcListener != nil {
+		c.rpcListener.Close()
+	}
 	if c.Gateway != nil {
 		c.Gateway.Kill()
 	}
@@ -307,6 +358,7 @@
 	if c.watch != nil {
 		c.watch.Stop()
 	}
+	c.endHooks()
 	if c.Backend != nil {
 		c.Backend.Close()
 	}
--- a/controller/models.go
+++ b/controller/models.go
@@ -2,9 +2,11 @@
 
 import (
 	"strings"
+	"sync"
 	"time"
 
 	"kitehub/gateway"
+	"kitehub/hook"
 	"kitehub/internal/clock"
 	"kitehub/registry"
 	"kitehub/registry/agent"
@@ -17,9 +19,29 @@
 	functions *gateway.Functions
 	gateway   *gateway.Gateway
 	clock     clock.Clock
+	tap       *tap
+
+	mu   sync.Mutex
+	seen map[registry.Name]uint64 // revision that an alias was last seen at
 }
 
-// Bind implements webhook.Models.
+// moved tells hooks of an alias that a call finds at another revision than the one before.
+func (m *models) moved(n registry.Name, t registry.Target) {
+	m.mu.Lock()
+	old, known := m.seen[n]
+	if m.seen == nil {
+		m.seen = map[registry.Name]uint64{}
+	}
+	if known || len(m.seen) < 10_000 {
+		m.seen[n] = max(old, t.Revision)
+	}
+	m.mu.Unlock()
+	if known && t.Revision > old {
+		m.tap.Post("moved", hook.Move{Model: n.Model, Alias: n.Alias, Version: t.Version, Revision: int64(t.Revision)})
+	}
+}
+
+// Bind implements front.Models.
 func (m *models) Bind(model *gateway.Function, alias string) (*gateway.Function, gateway.Bound, registry.Verdict) {
 	b := gateway.Bound{Name: registry.Name{Model: model.Name, Alias: alias}}
 	t, v := m.agent.Resolve(b.Name)
@@ -32,15 +54,31 @@
 	}
 	b.Target = t
 	m.agent.Use(b.Name, t)
+	if m.tap != nil {
+		m.moved(b.Name, t)
+	}
 	return fn, b, v
 }
 
-// Unbind implements webhook.Models.
+// current returns the version that a model's alias current names, as a function.
+func (m *models) current(model *gateway.Function) (*gateway.Function, registry.Target, bool) {
+	if m.agent == nil {
+		return nil, registry.Target{}, false
+	}
+	t, v := m.agent.Resolve(registry.Name{Model: model.Name, Alias: "current"})
+	if v != registry.May {
+		return nil, t, false
+	}
+	fn, err := m.functions.Version(model, t.Version, t.Digest)
+	return fn, t, err == nil
+}
+
+// Unbind implements front.Models.
 func (m *models) Unbind(b gateway.Bound, ran, failed bool) {
 	m.agent.Unuse(b.Name, b.Target, ran, failed)
 }
 
-// Begin implements webhook.Models.
+// Begin implements front.Models.
 func (m *models) Begin(b gateway.Bound) (func(), time.Duration, registry.Verdict) {
 	t, until, v := m.agent.Begin(b.Name, b.Target)
 	if v != registry.May {
--- /dev/null
+++ b/controller/rpc_test.go
@@ -0,0 +1,272 @@
+package controller
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"kitehub/fleet"
+	"kitehub/front/jsonrpc"
+	"kitehub/standin"
+)
+
+// withRPC adds the second front, for the user of the test.
+func withRPC(r *rig, more string) []string {
+	return []string{"stop_ms: 5000", fmt.Sprintf(`stop_ms: 5000 tenants { name: "t" } tenants { name: "u" }
+rpc { socket: %q explain: 100 users { self: true name: "me" tenant: "t" call: true operate: true } } %s`, filepath.Join(r.dir, "s"), more)}
+}
+
+func changed(l []string, old, to string) []string {
+	l[1] = strings.Replace(l[1], old, to, 1)
+	return l
+}
+
+// A line is one connection of a client that writes what it likes.
+type line struct {
+	t  *testing.T
+	nc net.Conn
+	br *bufio.Reader
+}
+
+func dial(t *testing.T, r *rig) *line {
+	t.Helper()
+	nc, err := net.Dial("unix", filepath.Join(r.dir, "s"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(20 * time.Second))
+	return &line{t, nc, bufio.NewReaderSize(nc, 1<<20)}
+}
+
+func (l *line) send(text string) { l.nc.Write([]byte(text + "\n")) }
+
+func (l *line) next() string {
+	s, err := l.br.ReadString('\n')
+	if err != nil {
+		return "end"
+	}
+	return strings.TrimSpace(s)
+}
+
+func (l *line) ask(text string) string {
+	l.send(text)
+	return l.next()
+}
+
+func request(id, method, params string) string {
+	return fmt.Sprintf(`{"jsonrpc":"2.0","id":%s,"method":%q,"params":%s}`, id, method, params)
+}
+
+func call(id, function, more string) string {
+	return request(id, "call", fmt.Sprintf(`{"function":%q,"body":{"x":1}%s}`, function, more))
+}
+
+func TestRPCMessages(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.start(r.build("c", withRPC(r, "")...))
+	l := dial(t, r)
+	deep := strings.Repeat("[", 1_000_000)
+	for _, c := range []struct{ in, want string }{
+		{call("1", "safe-1", ""), `"id":1,"result":{"body":`},
+		{call(`"a"`, "unsafe-1", ""), `"id":"a","result":`},
+		{call("2", "keyed-1", `,"key":"k"`), `"id":2,"result":`},
+		{call("3", "keyed-1", `,"key":"k"`), `"id":3,"result":`},
+		{call("4", "keyed-1", ""), `-32602,"message":"key: a call of this class has one"`},
+		{call("4", "safe-1", `,"key":"k"`), `has none`},
+		{call("5", "none", ""), `-32002`},
+		{request("5", "call", `{"function":"keyed-1","body":{"x":2},"key":"k"}`), `-32014`},
+		{call("9007199254740993", "safe-1", ""), `"id":null,"error":{"code":-32600,"message":"an id beyond 2^53`},
+		{call("9007199254740992", "safe-1", ""), `"id":9007199254740992,"result"`},
+		{call("1.5", "safe-1", ""), `-32600`},
+		{call("7", "safe-1", `,"wait_ms":9007199254740993`), `-32602,"message":"wait_ms: 9007199254740993 is not from 0 to 2^53"`},
+		{call("7", "safe-1", `,"wait_ms":99999999999999999999`), `-32602`},
+		{call("7", "safe-1", `,"wait":1`), `unknown field`},
+		{call("7", "safe-1", `,"wait_ms":"1"`), `wait_ms: a string is no int64`},
+		{`{"jsonrpc":"2.0","id":8,"method":"call","params":[1]}`, `"id":8,"error":{"code":-32602`},
+		{`{"jsonrpc":"1.0","id":8,"method":"status"}`, `-32600`},
+		{request("8", "nothing", "{}"), `-32601`},
+		{"{", `-32700`},
+		{"\"\xff\"", `-32700,"message":"not UTF-8"`},
+		{deep[:1000], `nested more than 64 deep`},
+		{"[]", `-32600`},
+		{`[1]`, `[{"jsonrpc":"2.0","id":null,"error":{"code":-32600`},
+		{"[" + call("1", "safe-1", "") + "," + call("1", "safe-1", "") + "]", `the id stands twice in one batch`},
+		{"[" + call("1", "safe-1", "") + `,{"jsonrpc":"2.0","method":"subscribe","params":{"topics":[]}},` + request("2", "status", "{}") + "]", `"id":2,"result":{"name":"c"`},
+		{request("1", "subscribe", `{"topics":["x"]}`), `no topic`},
+		{request("1", "cancel", `{"id":77}`), `"in_hand":false`},
+		{request("1", "hooks", `{}`), `no hooks are configured`},
+	} {
+		if got := l.ask(c.in); !strings.Contains(got, c.want) {
+			t.Errorf("%.100s: %s: %q is wanted", c.in, got, c.want)
+		}
+	}
+	if got := l.ask(deep + deep); !strings.Contains(got, "more than 1048576 bytes") || l.next() != "end" {
+		t.Error(got)
+	}
+	var x struct {
+		Result struct {
+			Answer string
+			Lines  []string
+		}
+	}
+	l = dial(t, r)
+	json.Unmarshal([]byte(l.ask(request("1", "explain", `{"id":"me:a"}`))), &x)
+	if text := strings.Join(x.Result.Lines, "\n"); x.Result.Answer != "served" || !strings.Contains(text, "attempt 1") || !strings.Contains(text, "ok after") {
+		t.Errorf("%+v", x)
+	}
+	if got := l.ask(request("1", "workers", "{}")); strings.Count(got, `"name":"w`) != 2 {
+		t.Error(got)
+	}
+	if got := l.ask(request("1", "functions", "{}")); !strings.Contains(got, `"name":"safe-1","home":"w`) {
+		t.Error(got)
+	}
+}
+
+// What is in hand is given up when its client cancels or leaves; a keyed call goes on while another try waits for it.
+func TestRPCCancel(t *testing.T) {
+	r := newRig(t, 1, func(c *standin.Config) {
+		for i := range c.Functions {
+			c.Functions[i].Work = 400 * ms
+		}
+	})
+	c := r.start(r.build("c", withRPC(r, "")...))
+	l, m := dial(t, r), dial(t, r)
+	l.send(call("1", "safe-1", `,"progress":true`))
+	if got := l.next(); !strings.Contains(got, `"method":"progress"`) || !strings.Contains(got, `"attempt":1`) {
+		t.Fatal(got)
+	}
+	if got := l.ask(call("1", "safe-1", "")); !strings.Contains(got, "in hand") {
+		t.Error(got)
+	}
+	l.send(request("2", "cancel", `{"id":1}`))
+	got := l.next() + l.next()
+	if !strings.Contains(got, `"in_hand":true`) || !strings.Contains(got, `-32013`) {
+		t.Error(got)
+	}
+	l.send(call("3", "keyed-1", `,"key":"k"`))
+	m.send(call("3", "keyed-1", `,"key":"k"`))
+	m.send(request("4", "status", "{}"))
+	for got := m.next(); !strings.Contains(got, `"joined":1`); got = m.ask(request("4", "status", "{}")) {
+		if strings.Contains(got, `"id":3`) {
+			t.Fatal(got)
+		}
+	}
+	l.send(request("5", "cancel", `{"id":3}`))
+	if got := l.next() + l.next(); !strings.Contains(got, `-32013`) {
+		t.Error(got)
+	}
+	if got := m.next(); !strings.Contains(got, `"id":3,"result"`) {
+		t.Error(got)
+	}
+	if got := l.ask(call("6", "safe-1", `,"progress":true`)); !strings.Contains(got, "progress") {
+		t.Error(got)
+	}
+	l.nc.Close()
+	for c.Gateway.Counts.Gone.Load() < 2 { // or the test's time is up
+		runtime.Gosched()
+	}
+}
+
+// A client that subscribes and reads nothing loses events, is told how many, and holds nothing up; one that reads nothing at all
+// while it asks is not read from.
+func TestRPCSlowReader(t *testing.T) {
+	r := newRig(t, 2, nil)
+	c := r.start(r.build("c", withRPC(r, "")...))
+	slow, l := dial(t, r), dial(t, r)
+	slow.ask(request("1", "subscribe", `{"topics":["ended"]}`))
+	for range 3000 {
+		c.RPC.Publish("ended", strings.Repeat("x", 1000))
+	}
+	if got := l.ask(call("1", "safe-1", "")); !strings.Contains(got, "result") {
+		t.Fatal(got)
+	}
+	if lost := c.RPC.Counts.EventsLost.Load(); lost == 0 {
+		t.Error("no event is lost: nothing is shown")
+	}
+	for i := 0; ; i++ {
+		if got := slow.next(); strings.Contains(got, `"method":"lost"`) {
+			break
+		} else if got == "end" {
+			t.Fatal("cut")
+		} else if i == 256 {
+			l.ask(call("1", "safe-1", "")) // the next event says what was lost
+		}
+	}
+}
+
+func TestRPCDenied(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.start(r.build("c", changed(withRPC(r, ""), "self: true", "uid: 4294967295")...))
+	if got := dial(t, r).next(); !strings.Contains(got, "-32001") {
+		t.Error(got)
+	}
+	r = newRig(t, 1, nil)
+	c := r.start(r.build("c", changed(withRPC(r, ""), "call: true operate: true", "call: true")...))
+	l := dial(t, r)
+	if got := l.ask(request("1", "status", "{}")) + l.ask(request("1", "subscribe", `{"topics":["ended"]}`)); strings.Count(got, "-32001") != 2 {
+		t.Error(got)
+	}
+	if info, err := os.Stat(filepath.Join(r.dir, "s")); err != nil || info.Mode().Perm() != 0o600 {
+		t.Error(info, err)
+	}
+	c.Drain()
+	if got := l.ask(call("1", "safe-1", "")); !strings.Contains(got, `"outcome":"refused"`) {
+		t.Error(got)
+	}
+}
+
+const announced = `state rush bool = false
+on arrive(c) {
+	if c.tenant == "u" { refuse("closed") }
+	annotate("size", str(c.size))
+}
+on timer(t) every 100ms {
+	keep_warm("safe-1", 2, 10s)
+}
+on joined(w) { log("joined " + w.name) }
+`
+
+// A script comes by the second front, keeps copies warm before the first call, and what it refuses is refused with its reason.
+func TestHooksInController(t *testing.T) {
+	r := newRig(t, 3, func(c *standin.Config) {
+		for i := range c.Functions {
+			c.Functions[i].Function.Fetch = 50 * ms
+		}
+	})
+	c := r.start(r.build("c", withRPC(r, "hooks {}")...))
+	l, _ := jsonrpc.Dial(filepath.Join(r.dir, "s"), time.Second)
+	defer l.Close()
+	if err := l.Do("hook.load", map[string]any{"name": "a", "text": "on arrive(c) {"}, nil, time.Second); err == nil || !strings.Contains(err.Error(), "a.hook:1:15") {
+		t.Error(err)
+	}
+	if err := l.Do("hook.load", map[string]any{"name": "a", "text": announced}, nil, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	copies := func() (n int) {
+		r.host.Do(func(f *fleet.Fleet) {
+			for w := range r.host.Names() {
+				n += f.Copies(w, "safe-1")
+			}
+		})
+		return n
+	}
+	for end := time.Now().Add(10 * time.Second); copies() < 2; {
+		if time.Now().After(end) {
+			t.Fatalf("%d copies", copies())
+		}
+	}
+	if err := l.Do("call", map[string]any{"function": "safe-1", "body": 1}, nil, 5*time.Second); err != nil {
+		t.Error(err)
+	}
+	if n := c.Gateway.Counts.Refused.Load(); n != 0 {
+		t.Error(n)
+	}
+}
--- a/day/guards_test.go
+++ b/day/guards_test.go
@@ -8,7 +8,7 @@
 	"kitehub/choice"
 	"kitehub/config"
 	"kitehub/discovery"
-	"kitehub/front/webhook"
+	"kitehub/front"
 	"kitehub/gateway"
 	"kitehub/internal/http1"
 	"kitehub/registry"
@@ -123,7 +123,7 @@
 
 // trusting takes the check of versions out, as their answers come in and at the door.
 type trusting struct {
-	webhook.Models
+	front.Models
 	gateway.Versions
 }
 
@@ -159,7 +159,7 @@
 			if v := play(Options{}); len(v.Breaks) > 0 || v.Answers == 0 {
 				t.Errorf("with the guard: %d answers, %d breaks: %v", v.Answers, len(v.Breaks), v.Breaks)
 			}
-			v := play(Options{Models: func(m webhook.Models) webhook.Models { return trusting{Models: m} },
+			v := play(Options{Models: func(m front.Models) front.Models { return trusting{Models: m} },
 				Versions: func(g gateway.Versions) gateway.Versions { return trusting{Versions: g} }})
 			if len(v.Breaks) == 0 {
 				t.Errorf("without the guard no break was found in %d answers", v.Answers)
--- a/day/play.go
+++ b/day/play.go
@@ -23,7 +23,7 @@
 	"kitehub/controller"
 	"kitehub/discovery"
 	"kitehub/fleet"
-	"kitehub/front/webhook"
+	"kitehub/front"
 	"kitehub/gateway"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
@@ -88,7 +88,7 @@
 	Spoil    func(*config.Built)
 	Sink     func(discovery.Sink) discovery.Sink
 	Handler  func(http1.Handler) http1.Handler
-	Models   func(webhook.Models) webhook.Models
+	Models   func(front.Models) front.Models
 	Versions func(gateway.Versions) gateway.Versions
 }
 
--- a/front/webhook/front.go
+++ b/front/webhook/front.go
@@ -29,6 +29,7 @@
 	"github.com/rs/zerolog"
 
 	"kitehub/choice"
+	"kitehub/front"
 	"kitehub/gateway"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
@@ -66,18 +67,8 @@
 	Replay    replay.Settings
 	Mark      MarkFile
 	Log       zerolog.Logger
-	MaxJoin   int    // tries that wait for the same call; 0: 16
-	Models    Models // nil: no function has versions
-}
-
-// Models is the registry as this controller knows it. agent.Agent with gateway.Functions is one.
-type Models interface {
-	// Bind resolves a model's alias to a version, as a function of its own.
-	Bind(model *gateway.Function, alias string) (*gateway.Function, gateway.Bound, registry.Verdict)
-	// Unbind ends a call's hold on its version; ran and failed say whether a worker answered it, and in an error.
-	Unbind(b gateway.Bound, ran, failed bool)
-	// Begin asks, just before the first byte, for an answer to be let out; see agent.Begin.
-	Begin(gateway.Bound) (done func(), within time.Duration, v registry.Verdict)
+	MaxJoin   int          // tries that wait for the same call; 0: 16
+	Models    front.Models // nil: no function has versions
 }
 
 // Counts of what came in, by what became of it before the gateway.
@@ -98,6 +89,7 @@
 	stop    chan struct{}
 	stopped sync.WaitGroup
 	closing atomic.Bool
+	binder  front.Binder
 }
 
 // A live call has the tries of its client that wait for its answer.
@@ -124,6 +116,7 @@
 		cfg.MaxJoin = 16
 	}
 	f := &Front{cfg: cfg, guard: replay.NewGuard(cfg.Replay, cfg.Clock.Wall(), mark), live: map[replay.Key]*live{}, stop: make(chan struct{})}
+	f.binder = front.Binder{Models: cfg.Models, Effect: cfg.Effect, Clock: cfg.Clock, Anew: &f.Counts.Anew}
 	f.clients.Store(&clients)
 	if err := f.extend(); err != nil {
 		return nil, err
@@ -355,22 +348,26 @@
 		call.Key = client.Name + ":" + v.id
 	}
 	if fn.Versions {
-		f.bind(call, fn, alias, f.cfg.Clock.Now()+call.Expires, 0, key, l)
+		f.binder.Run(&front.Bound{Call: call, Model: fn, Alias: alias, Final: f.cfg.Clock.Now() + call.Expires,
+			Submit: func(c *gateway.Call) { f.submit(c, key, l) },
+			Left: func() bool {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return l.waiting == 0
+			},
+			Deliver: func(a gateway.Answer, b *gateway.Bound, release func()) {
+				if release != nil { // until it is written: a move waits for that
+					f.hold(l, release)
+				}
+				f.deliver(key, l, front.Settled(a, f.cfg.Effect(fn.Class)), b)
+			}})
 	} else {
-		call.Deliver = func(a gateway.Answer) { f.deliver(key, l, f.ungone(a, fn.Class), nil) }
+		call.Deliver = func(a gateway.Answer) { f.deliver(key, l, front.Settled(a, f.cfg.Effect(fn.Class)), nil) }
 		f.submit(&call, key, l)
 	}
 	return f.wait(c, v, key, l, fn.Class)
 }
 
-// ungone: what a client left is its own to try again, unless it may have run and must not twice.
-func (f *Front) ungone(a gateway.Answer, class int) gateway.Answer {
-	if a.Kind == gateway.Gone && (!a.MayRun || f.cfg.Effect(class) == choice.Safe) {
-		a.Kind = gateway.Refused
-	}
-	return a
-}
-
 // submit hands a call to the gateway.
 func (f *Front) submit(call *gateway.Call, key replay.Key, l *live) {
 	id, taken := f.cfg.Gateway.Submit(call)
@@ -387,55 +384,6 @@
 	}
 }
 
-// bind resolves a call's alias and submits it; the alias may leave its version before the answer, and the call begin anew
-// then, or end: registry.After says which. It does not block, so it may be called where an answer is delivered.
-func (f *Front) bind(call gateway.Call, model *gateway.Function, alias string, final time.Duration, times int, key replay.Key, l *live) {
-	fn, b, verdict := f.cfg.Models.Bind(model, alias)
-	switch verdict {
-	case registry.May:
-	case registry.Unknown:
-		f.deliver(key, l, gateway.Answer{Kind: gateway.Refused, Verdict: verdict}, nil)
-		return
-	default:
-		f.deliver(key, l, gateway.Answer{Kind: gateway.Refused, Verdict: registry.NoLease, After: time.Second}, nil)
-		return
-	}
-	b.Times = times
-	call.Function, call.Bound, call.Expires = fn, &b, final-f.cfg.Clock.Now()
-	call.Deliver = func(a gateway.Answer) {
-		unbind := func() {
-			f.cfg.Models.Unbind(b, a.Kind == gateway.Served || a.Kind == gateway.Failed, a.Kind == gateway.Failed)
-		}
-		if a.Kind == gateway.Served {
-			f.hold(l, unbind) // until it is written: a move waits for that
-		} else {
-			defer unbind()
-		}
-		if a.Kind != gateway.Left {
-			f.deliver(key, l, f.ungone(a, fn.Class), &b)
-			return
-		}
-		next := registry.After(f.cfg.Effect(fn.Class), false, a.MayRun, times)
-		if a.Verdict == registry.NoLease {
-			next = registry.WithoutLease(f.cfg.Effect(fn.Class), false, a.MayRun)
-		}
-		f.mu.Lock()
-		gone := l.waiting == 0 // nobody waits any more: it does not begin anew
-		f.mu.Unlock()
-		switch {
-		case next == registry.Fail:
-			f.deliver(key, l, gateway.Answer{Kind: gateway.Failed, Verdict: a.Verdict}, nil)
-		case next == registry.Anew && !gone && final > f.cfg.Clock.Now():
-			f.Counts.Anew.Add(1)
-			call.Retry = false
-			f.bind(call, model, alias, final, times+1, key, l)
-		default:
-			f.deliver(key, l, gateway.Answer{Kind: gateway.Refused, Verdict: a.Verdict}, nil)
-		}
-	}
-	f.submit(&call, key, l)
-}
-
 // hold has a function called when nobody is left to be written an answer that is about to be delivered.
 func (f *Front) hold(l *live, release func()) {
 	f.mu.Lock()
--- a/gateway/closing.go
+++ b/gateway/closing.go
@@ -25,8 +25,14 @@
 		Str("class", g.cfg.Settings.Classes[c.Function.Class].Name).Str("trace", hex.EncodeToString(c.Trace[:])).
 		Str("answer", a.Kind.String()).Dur("took", now-r.at).Dur("allowed", c.Expires).Bool("late", now > r.at+c.Expires).
 		Bool("retry", c.Retry)
-	if c.Tenant >= 0 && c.Tenant < len(g.cfg.Settings.Tenants) {
-		e.Str("tenant", g.cfg.Settings.Tenants[c.Tenant].Name)
+	if t := g.tenant(c.Tenant); t != "" {
+		e.Str("tenant", t)
+	}
+	if c.verdict.Why != "" {
+		e.Str("why", c.verdict.Why)
+	}
+	for _, n := range c.verdict.Notes {
+		e.Str("note."+n.Key, n.Text)
 	}
 	if a.After > 0 {
 		e.Dur("after", a.After)
@@ -38,3 +44,23 @@
 	}
 	e.Strs("attempts", tries).Msg("request")
 }
+
+// tenant returns the name of a tenant, "" for none.
+func (g *Gateway) tenant(i int) string {
+	if i < 0 || i >= len(g.cfg.Settings.Tenants) {
+		return ""
+	}
+	return g.cfg.Settings.Tenants[i].Name
+}
+
+// Warm advises the module to keep copies of a function until a time; 0: no longer.
+func (g *Gateway) Warm(function string, copies int, until time.Duration) {
+	if id, err := g.AddFunction(function); err == nil {
+		g.put(choice.Wanted{Function: id, Copies: copies, Until: until})
+	}
+}
+
+// Regard advises the module to prefer a worker (rank above 0), to avoid it (below), or neither, until a time.
+func (g *Gateway) Regard(worker string, rank int, until time.Duration) {
+	g.put(choice.Regarded{Worker: WorkerID(worker), Rank: rank, Until: until})
+}
--- /dev/null
+++ b/gateway/explain.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"kitehub/choice"
+)
+
+// told keeps the last calls that were answered, for Explain. It is the loop's.
+type told struct {
+	most int
+	ring []Explained
+	next int
+}
+
+// Explained is why a call went where it went, from what the module saw as it sent, and what came of it.
+type Explained struct {
+	ID       string   `json:"id"`
+	Request  uint64   `json:"request"`
+	Function string   `json:"function"`
+	Tenant   string   `json:"tenant,omitempty"`
+	Class    string   `json:"class"`
+	Answer   string   `json:"answer"` // "" while it runs
+	TookMS   float64  `json:"took_ms"`
+	Why      string   `json:"why,omitempty"`
+	Lines    []string `json:"lines"`
+}
+
+func (t *told) keep(id choice.RequestID, r *entry, a Answer, now time.Duration) {
+	if t.most == 0 {
+		return
+	}
+	x := explain(id, r, a.Kind.String(), now)
+	x.Function = r.call.Function.Name
+	if len(t.ring) < t.most {
+		t.ring = append(t.ring, x)
+		return
+	}
+	t.ring[t.next] = x
+	t.next = (t.next + 1) % t.most
+}
+
+func explain(id choice.RequestID, r *entry, answer string, now time.Duration) Explained {
+	x := Explained{ID: r.call.ID, Request: uint64(id), Function: r.call.Function.Name, Answer: answer, TookMS: float64(now-r.at) / 1e6, Why: r.call.verdict.Why, Lines: []string{}}
+	if r.call.Retry {
+		x.Lines = append(x.Lines, "its client marks it as a repeat: it is served last where few pass")
+	}
+	if b := r.call.Bound; b != nil {
+		x.Lines = append(x.Lines, fmt.Sprintf("%s names version %s, revision %d; begun anew %d times", b.Name.Alias, b.Target.Version, b.Target.Revision, b.Times))
+	}
+	if w := r.call.verdict.Weight; w > 0 && w != 1 {
+		x.Lines = append(x.Lines, fmt.Sprintf("a hook weighs its tenant by %g", w))
+	}
+	for i := range r.tries {
+		t := &r.tries[i]
+		x.Lines = append(x.Lines, fmt.Sprintf("attempt %d, after %v: %s, %s", i+1, (t.sent-r.at).Round(100*time.Microsecond), t.worker, seen(t.look)))
+		if t.outcome == 0 {
+			x.Lines = append(x.Lines, "  no outcome yet")
+			continue
+		}
+		x.Lines = append(x.Lines, fmt.Sprintf("  %s after %v%s", outcomes[t.outcome], t.took.Round(100*time.Microsecond), met[t.note]))
+	}
+	if len(r.tries) == 0 {
+		switch {
+		case x.Why != "":
+			x.Lines = append(x.Lines, "never sent: "+x.Why)
+		default:
+			x.Lines = append(x.Lines, "never sent: no worker could take it in its time, or too many calls were late to let it pass")
+		}
+	}
+	return x
+}
+
+var met = map[choice.Note]string{choice.FoundWarm: ", a copy stood", choice.BeganLoad: ", it began a load", choice.AwaitedOne: ", it waited for a load that had begun", choice.LoadFailed: ", a load failed"}
+
+func seen(l choice.Look) string {
+	var s []string
+	switch {
+	case l.Place == 0:
+		s = append(s, "the function's home")
+	case l.Place > 0:
+		s = append(s, fmt.Sprintf("place %d of %d from its home", l.Place, l.Ring))
+	}
+	if l.Warm {
+		s = append(s, "a copy believed to stand")
+	} else {
+		s = append(s, "no copy known to stand")
+	}
+	if l.Cold {
+		s = append(s, "cold")
+	}
+	if l.Rank != 0 {
+		s = append(s, map[bool]string{true: "preferred by advice", false: "to be avoided by advice"}[l.Rank > 0])
+	}
+	s = append(s, fmt.Sprintf("%d of %.1f tokens in use", l.Busy, l.Tokens))
+	if l.Pass < 1 {
+		s = append(s, fmt.Sprintf("%.0f%% of calls let pass", 100*l.Pass))
+	}
+	return strings.Join(s, ", ")
+}
+
+var errStopped = errors.New("gateway: stopped")
+
+// ask has f run by the loop, between two steps, and waits for it.
+func (g *Gateway) ask(f func()) error {
+	ready := make(chan struct{})
+	select {
+	case g.asked <- func() { f(); close(ready) }:
+	case <-g.done:
+		return errStopped
+	}
+	select {
+	case <-ready:
+		return nil
+	case <-g.done:
+		return errStopped
+	}
+}
+
+// Explain returns why a call went where it went: one that runs, or one of the last that were answered; the newest of its id.
+func (g *Gateway) Explain(id string) (x Explained, ok bool, err error) {
+	err = g.ask(func() {
+		for _, k := range sortedKeys(g.table) {
+			if r := g.table[k]; r.call != nil && r.call.ID == id {
+				x, ok = explain(k, r, "", g.cfg.Clock.Now()), true
+			}
+		}
+		for i := range g.told.ring {
+			if e := &g.told.ring[(g.told.next+i)%len(g.told.ring)]; e.ID == id && (!ok || e.Request > x.Request) {
+				x, ok = *e, true
+			}
+		}
+	})
+	return x, ok, err
+}
+
+// WorkerView is a worker as this controller sees it.
+type WorkerView struct {
+	Name string `json:"name"`
+	choice.WorkerLook
+}
+
+// FunctionView is a function as this controller sees it.
+type FunctionView struct {
+	Name string `json:"name"`
+	Home string `json:"home"`
+	choice.FunctionLook
+}
+
+// View returns workers and functions as the module sees them, by name, and the share of requests that it lets pass.
+func (g *Gateway) View() (workers []WorkerView, functions []FunctionView, err error) {
+	err = g.ask(func() {
+		for _, w := range g.d.Workers() {
+			workers = append(workers, WorkerView{g.workerName(w.ID), w})
+		}
+		for _, f := range g.d.Functions() {
+			name, _, _ := g.functionName(f.ID)
+			functions = append(functions, FunctionView{name, g.workerName(f.Home), f})
+		}
+	})
+	return workers, functions, err
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,8 +21,10 @@
 
 	"github.com/rs/zerolog"
 
+	"kitehub/advice"
 	"kitehub/backend"
 	"kitehub/choice"
+	"kitehub/hook"
 	"kitehub/internal/clock"
 	"kitehub/registry"
 )
@@ -56,6 +58,8 @@
 	Lister   Lister
 	Peers    Peers
 	Versions Versions // nil: no call is Bound
+	Hooks    Hooks    // nil: none
+	Explain  int      // calls that are kept for Explain once they are answered; 0: none
 	Log      zerolog.Logger
 	Quiet    bool // no closing line for each request
 }
@@ -66,6 +70,15 @@
 	Stands(function, worker string, copies int)
 }
 
+// Hooks are what operators' scripts see of the gateway, and say of calls. hooks.Engine is one. None may block.
+type Hooks interface {
+	// Arrive judges a call that is being taken; Left is told when it is answered.
+	Arrive(hook.Call) advice.Verdict
+	Left(tenant string)
+	Post(point string, e hook.Event)
+	Workers([]advice.Worker)
+}
+
 // Bound is what a call of a model's alias was resolved to.
 type Bound struct {
 	Name   registry.Name
@@ -114,6 +127,9 @@
 	Hint     time.Duration
 	// Deliver is called once, on any goroutine; with Gone after a HangUp. It must not block.
 	Deliver func(Answer)
+	// Progress, where set, is told of each attempt that goes out, and whether it may wait for a load. It must not block.
+	Progress func(attempt int, worker string, load bool)
+	verdict  advice.Verdict
 }
 
 // Counts of what was answered, and of the loop.
@@ -143,9 +159,10 @@
 	stopped bool
 	moved   bool // aliases have moved: see Sweep
 
-	wake chan struct{}
-	halt chan struct{}
-	done chan struct{}
+	wake  chan struct{}
+	halt  chan struct{}
+	done  chan struct{}
+	asked chan func()
 
 	// Owned by the loop.
 	d      *choice.Dispatcher
@@ -154,6 +171,7 @@
 	tokens []choice.Wake
 	rng    *rand.Rand
 	crash  uint64
+	told   told
 }
 
 type result struct {
@@ -181,6 +199,8 @@
 	outcome choice.Outcome
 	took    time.Duration
 	status  int
+	note    choice.Note
+	look    choice.Look // the worker and function as the module saw them, where calls are explained
 }
 
 // New returns a gateway that does not run yet.
@@ -196,8 +216,9 @@
 		return nil, err
 	}
 	g := &Gateway{cfg: cfg, d: d, table: map[choice.RequestID]*entry{}, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		calls: map[choice.RequestID]*Call{}, results: map[result]backend.Result{}, wake: make(chan struct{}, 1),
+		calls: map[choice.RequestID]*Call{}, results: map[result]backend.Result{}, wake: make(chan struct{}, 1), asked: make(chan func()),
 		halt: make(chan struct{}), done: make(chan struct{}), names: newNames(cfg.Settings)}
+	g.told.most = cfg.Explain
 	// The module draws by hash of the request's number: two controllers must not count alike.
 	g.nextID.Store(g.rng.Uint64() >> 24 << 8)
 	return g, nil
@@ -212,9 +233,16 @@
 	}
 	id := choice.RequestID(g.nextID.Add(1))
 	f := c.Function
+	if h := g.cfg.Hooks; h != nil {
+		c.verdict = h.Arrive(hook.Call{Function: f.Name, Tenant: g.tenant(c.Tenant), Client: c.Client, Class: g.cfg.Settings.Classes[f.Class].Name,
+			Retry: c.Retry, Wait: c.Expires, Size: len(c.Body), Open: g.Open()})
+	}
 	g.mu.Lock()
 	if g.stopped {
 		g.mu.Unlock()
+		if h := g.cfg.Hooks; h != nil {
+			h.Left(g.tenant(c.Tenant))
+		}
 		g.open.Add(-1)
 		g.Counts.Turned.Add(1)
 		return 0, false
@@ -222,7 +250,7 @@
 	g.calls[id] = c
 	g.in = append(g.in, choice.Arrival{Request: id, Class: f.Class, Tenant: c.Tenant, Function: f.ID, Expires: c.Expires,
 		Hint: c.Hint, HasHint: c.Hint > 0, MemoryMB: f.MemoryMB, Lanes: f.Lanes, LoadTime: f.LoadTime, Retry: c.Retry,
-		Again: c.Bound != nil && c.Bound.Times > 0})
+		Again: c.Bound != nil && c.Bound.Times > 0, Unwanted: c.verdict.Unwanted, Weight: c.verdict.Weight})
 	g.mu.Unlock()
 	g.poke()
 	return id, true
@@ -274,6 +302,9 @@
 				g.rest()
 			}
 			return
+		case f := <-g.asked:
+			f()
+			continue
 		case <-g.wake:
 		case <-timer.C:
 		}
@@ -392,7 +423,7 @@
 		return
 	}
 	t := &r.tries[e.Attempt]
-	t.outcome, t.took, t.status, t.run = e.Outcome, e.Took, res.Status, nil
+	t.outcome, t.took, t.status, t.note, t.run = e.Outcome, e.Took, res.Status, e.Note, nil
 	r.out--
 	if k := Kind(r.claimed.Load()); e.Outcome == choice.OK && (k == Served || k == Left) && !r.noted {
 		g.note(e.Request, r, Answer{Kind: k}, now)
@@ -426,6 +457,17 @@
 		g.Counts.Left.Add(1)
 	}
 	g.closing(id, r, a, now)
+	if h := g.cfg.Hooks; h != nil {
+		tenant := g.tenant(r.call.Tenant)
+		h.Left(tenant)
+		e := hook.Ended{Function: r.call.Function.Name, Tenant: tenant, Class: g.cfg.Settings.Classes[r.call.Function.Class].Name, Answer: a.Kind.String(),
+			Took: now - r.at, Attempts: len(r.tries), Late: now > r.at+r.call.Expires}
+		if len(r.tries) > 0 {
+			e.Worker = r.tries[len(r.tries)-1].worker
+		}
+		h.Post("ended", e)
+	}
+	g.told.keep(id, r, a, now)
 	r.call = nil // the body goes; attempts out may stay a while
 	if r.out == 0 {
 		delete(g.table, id)
@@ -520,6 +562,12 @@
 	}
 	n, worker, call := len(r.tries), a.Worker, r.call
 	t := try{worker: g.workerName(worker), sent: now}
+	if g.told.most > 0 || call.Progress != nil {
+		t.look = g.d.Look(call.Function.ID, worker)
+	}
+	if call.Progress != nil {
+		call.Progress(n, t.worker, !t.look.Warm)
+	}
 	r.out++
 	at := backend.Attempt{Worker: worker, Function: r.call.Function.Name, Trace: traceparent(r.call.Trace, g.rng.Uint64()),
 		Key: r.call.Key, Digest: r.call.Function.Digest, Body: r.call.Body, Within: a.Timeout, Wanted: func() bool { return r.claimed.Load() == 0 }}
@@ -630,6 +678,9 @@
 			if digest != "" && o == choice.OK && g.cfg.Versions != nil {
 				g.cfg.Versions.Stands(name, g.workerName(a.Worker), copies)
 			}
+			if h := g.cfg.Hooks; h != nil && (o == choice.Full || o == choice.Error) {
+				h.Post("load_refused", hook.Load{Function: name, Worker: g.workerName(a.Worker), Outcome: outcomes[o], Took: took})
+			}
 			g.put(choice.Held{Worker: a.Worker, Function: a.Function, Outcome: o, Took: took, Copies: copies})
 		})
 }
--- a/gateway/names.go
+++ b/gateway/names.go
@@ -10,8 +10,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"kitehub/advice"
 	"kitehub/backend"
 	"kitehub/choice"
+	"kitehub/hook"
 )
 
 // A Function is what calls name.
@@ -150,6 +152,7 @@
 		}
 		next[id] = w
 	}
+	was := g.names.workers
 	g.names.workers, g.names.version = next, version
 	g.names.offset = g.cfg.Clock.Now() - time.Duration(g.cfg.Clock.Wall().UnixNano())
 	g.points = g.points[:0]
@@ -158,6 +161,9 @@
 		g.points = append(g.points, backend.Endpoint{ID: id, Name: w.Name, Network: w.Network, Addr: w.Addr, Ready: w.State == choice.Ready})
 	}
 	g.cfg.Carrier.Update(g.points)
+	if g.cfg.Hooks != nil {
+		g.tellHooks(was, next)
+	}
 	// A list that waits and this one become one whole list: the module is told what holds, not how it came.
 	if kind == choice.Delta {
 		kind = choice.Whole
@@ -172,6 +178,37 @@
 	return nil
 }
 
+var states = map[choice.WorkerState]string{choice.Ready: "ready", choice.Draining: "draining", choice.Gone: "gone"}
+
+// tellHooks tells who joined and who left.
+func (g *Gateway) tellHooks(was, is map[choice.WorkerID]Worker) {
+	var l []advice.Worker
+	tell := func(point string, w Worker, state choice.WorkerState) {
+		g.cfg.Hooks.Post(point, hook.Worker{Name: w.Name, Group: w.Group, Zone: w.Zone, State: states[state]})
+	}
+	for _, id := range sortedKeys(is) {
+		w, old := is[id], was[id]
+		ready := w.State == choice.Ready
+		a := advice.Worker{Name: w.Name, Ready: ready}
+		if k, ok := g.names.ids["kind "+w.Kind]; ok && k < len(g.cfg.Settings.Loading.MemoryMB) {
+			a.MemoryMB = g.cfg.Settings.Loading.MemoryMB[k]
+		}
+		l = append(l, a)
+		switch wasReady := old.State == choice.Ready; {
+		case ready && !wasReady:
+			tell("joined", w, w.State)
+		case !ready && wasReady:
+			tell("left", w, w.State)
+		}
+	}
+	for _, id := range sortedKeys(was) {
+		if _, ok := is[id]; !ok && was[id].State == choice.Ready {
+			tell("left", was[id], choice.Gone)
+		}
+	}
+	g.cfg.Hooks.Workers(l)
+}
+
 // whole returns the list as it stands, sorted by id.
 func (n *names) whole(kind choice.ListKind) choice.List {
 	l := choice.List{Kind: kind, Version: n.version}
--- a/hook/ast.go
+++ b/hook/ast.go
@@ -49,6 +49,7 @@
 	calls  []*funcDecl // for what a handler may reach
 	writes Pos         // where it changes state; zero: it does not
 	uses   map[string]Pos
+	vars   []varInfo
 }
 
 type testDecl struct {
--- a/hook/check.go
+++ b/hook/check.go
@@ -28,6 +28,7 @@
 	consts bool // in a state's first value
 	loops  int
 	next   int // free slot
+	end    Pos // of the scope that ends next
 }
 
 // Check parses a text and checks it. The script can be compiled if no problem is more than a warning.
@@ -223,6 +224,10 @@
 			v.used = true
 		}
 	}
+	for _, v := range c.scopes[0] {
+		d.vars = append(d.vars, varInfo{v.name, v.t, v.ref.n, d.pos, d.end})
+	}
+	sort.Slice(d.vars, func(i, j int) bool { return d.vars[i].slot < d.vars[j].slot })
 	returns := c.block(d.body)
 	if d.ret != tyVoid && !returns {
 		c.problem(d.end, "%s ends without a return", d.name)
@@ -263,6 +268,7 @@
 	}
 	sort.Slice(l, func(i, j int) bool { return l[i].ref.n < l[j].ref.n })
 	for _, v := range l {
+		c.fn.vars = append(c.fn.vars, varInfo{v.name, v.t, v.ref.n, v.pos, c.end})
 		if !v.used {
 			c.warn(v.pos, "%s is never used", v.name)
 		}
@@ -282,6 +288,7 @@
 		}
 	}
 	c.next = from
+	c.end = b.end
 	c.pop()
 	return ends
 }
@@ -481,6 +488,7 @@
 	c.loops++
 	c.block(s.body)
 	c.loops--
+	c.end = s.body.end
 	c.pop()
 	c.next = from
 }
--- a/hook/compile.go
+++ b/hook/compile.go
@@ -94,6 +94,15 @@
 	params int
 	slots  int
 	depth  int // of the stack above the slots
+	vars   []varInfo
+}
+
+// varInfo is a variable for the tracer: what it is called, from where to where.
+type varInfo struct {
+	name     string
+	t        *Type
+	slot     int
+	from, to Pos
 }
 
 type handler struct {
@@ -257,7 +266,7 @@
 
 func (c *compiler) function(d *funcDecl, f *function) {
 	c.fn, c.now = f, 0
-	f.params, f.slots = len(d.types), d.slots
+	f.params, f.slots, f.vars = len(d.types), d.slots, d.vars
 	c.block(d.body)
 	c.emit(d.end, opReturnNothing, 0, 0, 0)
 	f.depth += 2
--- a/hook/state.go
+++ b/hook/state.go
@@ -197,12 +197,15 @@
 	Fuel int64
 }
 
+// testEnv is the clock of tests: a day's begin.
+var testEnv = Env{Now: int64(24 * time.Hour), Wall: 86400}
+
 // Test runs the tests of a program in the order of the text, each from the first state. Their clock stands at a day's begin.
 func (p *Program) Test(trace func(function string, pos Pos, locals []Value)) (l []TestResult) {
 	vm := NewVM()
 	vm.Trace = trace
 	for _, t := range p.tests {
-		vm.start(p, p.State(), Env{Now: int64(24 * time.Hour), Wall: 86400}, Aside)
+		vm.start(p, p.State(), testEnv, Aside)
 		err := vm.guard(p, func() { vm.exec(p.funcs[t.fn], nil) })
 		l = append(l, TestResult{t.name, t.pos, err, Aside.Fuel - vm.fuel})
 	}
--- /dev/null
+++ b/hooks/engine.go
@@ -0,0 +1,568 @@
+package hooks
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kitehub/advice"
+	"kitehub/hook"
+	"kitehub/internal/clock"
+	"kitehub/store"
+)
+
+// A Sink takes what hooks bring about. gateway.Gateway is one.
+type Sink interface {
+	Warm(function string, copies int, until time.Duration)
+	Regard(worker string, rank int, until time.Duration)
+}
+
+// Config sets up an Engine.
+type Config struct {
+	Life   LifeSettings
+	Advice advice.Settings
+	Facts  advice.Facts
+	Sink   Sink
+	Notify func(advice.Notice) // must not block; nil: notices are logged only
+	Open   func() int          // calls in hand, for timers
+	Clock  clock.Clock
+	Log    zerolog.Logger
+	FS     store.FS // for scripts and their state; nil: they end with the process
+	Seed   uint64
+	Queue  int           // events that wait for the hooks; further ones are dropped and counted; 0: 4096
+	Aside  hook.Limits   // zero: hook.Aside
+	Inline hook.Limits   // zero: hook.Inline
+	Within time.Duration // one run aside, as the last net: 250 ms
+	Keep   time.Duration // state is stored at most so often: 1 s
+}
+
+// Counts of what was run.
+type Counts struct {
+	Posted, Dropped, Inline, InlineNanos, Aside, AsideNanos, Faults, Refusals, Over atomic.Int64
+}
+
+// An Engine runs scripts. Arrive, Left and Post are safe for concurrent use and never wait for a hook that runs aside; all else
+// is carried out by one goroutine, between two runs, so that no script is replaced in the middle of one.
+type Engine struct {
+	cfg    Config
+	Counts Counts
+	queue  chan posted
+	calls  chan func()
+	list   atomic.Pointer[[]advice.Worker] // not taken in yet
+	wake   chan struct{}
+	stop   chan struct{}
+	done   chan struct{}
+	once   sync.Once
+	pool   sync.Pool
+	live   atomic.Pointer[[]inline]
+	points atomic.Pointer[map[string]bool] // that some script has a handler of
+	dmu    sync.Mutex
+	door   *advice.Door
+
+	// Owned by the goroutine.
+	life   *Lifecycle
+	table  *advice.Table
+	vm     *hook.VM
+	ran    map[string]*running
+	shadow map[string]*running
+	log    *store.Log
+	seq    uint64
+	since  int
+	saved  time.Duration
+	failed error
+	states map[string]json.RawMessage // as stored last
+}
+
+// running is a version as it runs.
+type running struct {
+	name    string
+	version uint64
+	p       *hook.Program
+	state   *hook.State
+	every   time.Duration
+	next    time.Duration // of its timer
+	count   int64
+	changed bool // its state is not stored yet
+}
+
+type inline struct {
+	name    string
+	version uint64
+	p       *hook.Program
+	state   *hook.State
+	shadow  *running // nil: none to compare
+}
+
+type posted struct {
+	point string
+	event hook.Event
+	// Of a run that was made inline: what it led to.
+	script  string
+	version uint64
+	fault   string
+	fuel    int64
+	advice  []hook.Advice
+	ran     bool
+	at      time.Duration
+}
+
+// record is what the store holds: one of the two.
+type record struct {
+	Scripts []*Script       `json:"scripts,omitempty"`
+	Last    uint64          `json:"last,omitempty"`
+	State   string          `json:"state,omitempty"` // name of the script
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+type snapshot struct {
+	Scripts []*Script                  `json:"scripts"`
+	Last    uint64                     `json:"last"`
+	States  map[string]json.RawMessage `json:"states"`
+}
+
+// Start opens what was stored and runs it. A script that does not compile any more is in quarantine.
+func Start(cfg Config) (*Engine, error) {
+	if cfg.Queue == 0 {
+		cfg.Queue = 4096
+	}
+	if cfg.Aside.Fuel == 0 {
+		cfg.Aside = hook.Aside
+	}
+	if cfg.Inline.Fuel == 0 {
+		cfg.Inline = hook.Inline
+	}
+	if cfg.Within == 0 {
+		cfg.Within = 250 * time.Millisecond
+	}
+	if cfg.Keep == 0 {
+		cfg.Keep = time.Second
+	}
+	e := &Engine{cfg: cfg, queue: make(chan posted, cfg.Queue), calls: make(chan func()), wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
+		life: NewLifecycle(cfg.Life, cfg.Seed), vm: hook.NewVM(), ran: map[string]*running{}, shadow: map[string]*running{}, door: advice.NewDoor(cfg.Advice),
+		states: map[string]json.RawMessage{}}
+	e.pool.New = func() any { return hook.NewVM() }
+	var err error
+	if e.table, err = advice.New(cfg.Advice, cfg.Facts); err != nil {
+		return nil, err
+	}
+	if cfg.FS != nil {
+		if err := e.recover(); err != nil {
+			return nil, fmt.Errorf("hooks: %w", err)
+		}
+	}
+	e.publish()
+	go e.run()
+	return e, nil
+}
+
+func (e *Engine) recover() error {
+	snap := snapshot{States: map[string]json.RawMessage{}}
+	log, rec, err := store.Open(e.cfg.FS, store.Options{MaxRecord: 16 << 20, MaxGroup: 32 << 20},
+		func(_ uint64, text []byte) error { return json.Unmarshal(text, &snap) },
+		func(seq uint64, text []byte) error {
+			var r record
+			if err := json.Unmarshal(text, &r); err != nil {
+				return fmt.Errorf("record %d: %w", seq, err)
+			}
+			if r.State != "" {
+				snap.States[r.State] = r.Value
+			} else {
+				snap.Scripts, snap.Last = r.Scripts, r.Last
+			}
+			return nil
+		})
+	if err != nil {
+		return err
+	}
+	e.log, e.seq = log, rec.Last
+	e.life.Scripts, e.life.Last, e.states = snap.Scripts, snap.Last, snap.States
+	for _, s := range e.life.Scripts {
+		if s.Live != nil && s.Live.Bad == "" {
+			r, err := e.prepare(s.Name, s.Live)
+			if err != nil { // it did, in the program that stored it
+				s.Live.Bad = err.Error()
+				e.cfg.Log.Error().Str("script", s.Name).Err(err).Msg("hook in quarantine: it does not compile any more")
+				continue
+			}
+			if text := snap.States[s.Name]; text != nil {
+				if st, err := r.p.Restore(text); err != nil {
+					e.cfg.Log.Error().Str("script", s.Name).Err(err).Msg("hook's state not restored: it begins anew")
+				} else {
+					r.state = st
+				}
+			}
+			e.ran[s.Name] = r
+			e.advise([]advice.Event{advice.Live{Script: s.Name, Version: s.Live.Number}})
+		}
+		if s.Shadow != nil {
+			if r, err := e.prepare(s.Name, s.Shadow); err == nil {
+				e.shadow[s.Name] = r
+			} else {
+				s.Shadow = nil
+			}
+		}
+	}
+	return nil
+}
+
+func (e *Engine) prepare(name string, v *Version) (*running, error) {
+	p, err := hook.Compile(name+".hook", v.Text)
+	if err != nil {
+		return nil, err
+	}
+	_, every := p.Points()
+	return &running{name: name, version: v.Number, p: p, state: p.State(), every: every, next: e.cfg.Clock.Now() + every}, nil
+}
+
+// Close ends the engine and stores what its scripts have.
+func (e *Engine) Close() error {
+	e.once.Do(func() { close(e.stop) })
+	<-e.done
+	return e.failed
+}
+
+// Arrive runs the handlers of a call that arrives, on the caller's goroutine, and judges it. The call is counted in hand of its
+// tenant until Left. A call is judged by the versions that were live when it arrived.
+func (e *Engine) Arrive(c hook.Call) advice.Verdict {
+	now := e.cfg.Clock.Now()
+	var all []hook.Advice
+	if l := *e.live.Load(); len(l) > 0 {
+		env := hook.Env{Now: int64(now), Wall: e.cfg.Clock.Wall().Unix()}
+		vm := e.pool.Get().(*hook.VM)
+		for _, s := range l {
+			res, err := vm.Run(s.p, "arrive", c, s.state, env, e.cfg.Inline)
+			p := posted{point: "arrive", script: s.name, version: s.version, fuel: res.Fuel, advice: res.Advice, ran: true, at: now}
+			if err != nil {
+				p.fault = err.Error()
+			}
+			all = append(all, res.Advice...)
+			if s.shadow != nil {
+				p.event = c
+			}
+			e.post(p) // its tally, its circuit, and its shadow
+		}
+		e.pool.Put(vm)
+		e.Counts.Inline.Add(int64(len(l)))
+		e.Counts.InlineNanos.Add(int64(e.cfg.Clock.Now() - now))
+	}
+	e.dmu.Lock()
+	v := e.door.Arrive(now, c.Tenant, all)
+	e.dmu.Unlock()
+	if v.Unwanted {
+		e.Counts.Refusals.Add(1)
+	}
+	if v.Over {
+		e.Counts.Over.Add(1)
+	}
+	return v
+}
+
+// Left says that a call that arrived has its answer.
+func (e *Engine) Left(tenant string) {
+	e.dmu.Lock()
+	e.door.Left(tenant)
+	e.dmu.Unlock()
+}
+
+// Post hands an event to the hooks, if any wants it. It never blocks: where too many wait the event is dropped, and counted.
+func (e *Engine) Post(point string, ev hook.Event) {
+	if m := e.points.Load(); m != nil && !(*m)[point] {
+		return
+	}
+	e.post(posted{point: point, event: ev, at: e.cfg.Clock.Now()})
+}
+
+// Workers tells the list of workers as it stands. It does not block; a newer list replaces one that waits.
+func (e *Engine) Workers(l []advice.Worker) {
+	e.list.Store(&l)
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Engine) post(p posted) {
+	select {
+	case e.queue <- p:
+		e.Counts.Posted.Add(1)
+	default:
+		e.Counts.Dropped.Add(1)
+	}
+}
+
+// do has f run by the engine's goroutine, and waits for it.
+func (e *Engine) do(f func()) error {
+	ready := make(chan struct{})
+	select {
+	case e.calls <- func() { f(); close(ready) }:
+		<-ready
+		return nil
+	case <-e.done:
+		return errors.New("hooks: stopped")
+	}
+}
+
+func (e *Engine) run() {
+	defer close(e.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-e.stop:
+			e.store(true)
+			if e.log != nil {
+				e.log.Close()
+			}
+			return
+		case <-e.wake:
+		case f := <-e.calls:
+			f()
+		case p := <-e.queue:
+			e.one(p)
+		case <-timer.C:
+		}
+		if l := e.list.Swap(nil); l != nil {
+			e.advise([]advice.Event{advice.Workers{List: *l}})
+		}
+		e.follow()
+		now := e.cfg.Clock.Now()
+		e.timers(now)
+		e.life.Due(now)
+		e.advise(nil)
+		e.follow()
+		e.store(false)
+		timer.Reset(max(time.Millisecond, min(e.next(now)-now, time.Hour)))
+	}
+}
+
+func (e *Engine) next(now time.Duration) time.Duration {
+	at := now + time.Hour
+	least := func(t time.Duration) {
+		if t > 0 {
+			at = min(at, t)
+		}
+	}
+	least(e.life.Next())
+	least(e.table.Next())
+	for _, r := range e.ran {
+		if r.every > 0 {
+			least(r.next)
+		}
+		if r.changed {
+			least(e.saved + e.cfg.Keep)
+		}
+	}
+	return at
+}
+
+func (e *Engine) timers(now time.Duration) {
+	for _, s := range e.life.Scripts {
+		if r := e.ran[s.Name]; r != nil && r.every > 0 && now >= r.next {
+			r.count++
+			if r.next += r.every; r.next <= now { // late ones are not made up for
+				r.next = now + r.every
+			}
+			open := 0
+			if e.cfg.Open != nil {
+				open = e.cfg.Open()
+			}
+			e.event(s, "timer", hook.Tick{Count: r.count, Open: open}, now)
+		}
+	}
+}
+
+// one carries out what was posted.
+func (e *Engine) one(p posted) {
+	if p.ran {
+		e.life.Ran(p.at, p.script, p.version, p.fault, p.fuel)
+		if p.fault != "" {
+			e.Counts.Faults.Add(1)
+		}
+		for _, a := range p.advice {
+			if a.Kind == "log" {
+				e.cfg.Log.Info().Str("script", p.script).Msg(a.Text)
+			}
+		}
+		if r := e.shadow[p.script]; r != nil && p.event != nil {
+			e.try(r, p.point, p.event, p.advice, p.fault)
+		}
+		return
+	}
+	for _, s := range slices.Clone(e.life.Scripts) {
+		e.event(s, p.point, p.event, e.cfg.Clock.Now())
+	}
+}
+
+// event runs a script's handler of one event, aside, and then its shadow's.
+func (e *Engine) event(s *Script, point string, ev hook.Event, now time.Duration) {
+	r := e.ran[s.Name]
+	if r == nil || !r.p.Has(point) {
+		if sh := e.shadow[s.Name]; r != nil && sh != nil && sh.p.Has(point) {
+			e.try(sh, point, ev, nil, "")
+		}
+		return
+	}
+	res, err := e.aside(r, point, ev)
+	fault := ""
+	if err != nil {
+		fault = err.Error()
+		e.Counts.Faults.Add(1)
+	} else if res.State != r.state {
+		r.state, r.changed = res.State, true
+		if r.p.Has("arrive") {
+			e.publish()
+		}
+	}
+	e.life.Ran(now, s.Name, r.version, fault, res.Fuel)
+	if len(res.Advice) > 0 {
+		var l []hook.Advice
+		for _, a := range res.Advice {
+			if a.Kind == "log" {
+				e.cfg.Log.Info().Str("script", s.Name).Msg(a.Text)
+			} else {
+				l = append(l, a)
+			}
+		}
+		e.advise([]advice.Event{advice.Offered{Script: s.Name, Version: r.version, Items: l}})
+	}
+	if sh := e.shadow[s.Name]; sh != nil {
+		e.try(sh, point, ev, res.Advice, fault)
+	}
+}
+
+func (e *Engine) aside(r *running, point string, ev hook.Event) (hook.Result, error) {
+	begin := time.Now()
+	lim := e.cfg.Aside
+	if point == "arrive" {
+		lim = e.cfg.Inline
+	}
+	lim.Stop = func() bool { return time.Since(begin) > e.cfg.Within }
+	res, err := e.vm.Run(r.p, point, ev, r.state, hook.Env{Now: int64(e.cfg.Clock.Now()), Wall: e.cfg.Clock.Wall().Unix()}, lim)
+	e.Counts.Aside.Add(1)
+	e.Counts.AsideNanos.Add(int64(time.Since(begin)))
+	return res, err
+}
+
+// try runs a shadow on an event that the live version has had, and compares. What it advises goes nowhere.
+func (e *Engine) try(r *running, point string, ev hook.Event, live []hook.Advice, fault string) {
+	if !r.p.Has(point) {
+		e.life.Tried(r.name, r.version, "", 0, len(live) == 0)
+		return
+	}
+	res, err := e.aside(r, point, ev)
+	if err != nil {
+		e.life.Tried(r.name, r.version, err.Error(), res.Fuel, false)
+		return
+	}
+	r.state = res.State
+	e.life.Tried(r.name, r.version, "", res.Fuel, fault == "" && slices.Equal(res.Advice, live))
+}
+
+// advise steps the table and carries out what comes of it.
+func (e *Engine) advise(in []advice.Event) {
+	for _, x := range e.table.Step(e.cfg.Clock.Now(), in) {
+		switch x := x.(type) {
+		case advice.Warm:
+			e.cfg.Sink.Warm(x.Function, x.Copies, x.Until)
+		case advice.Regard:
+			e.cfg.Sink.Regard(x.Worker, x.Rank, x.Until)
+		case advice.Tenants:
+			e.dmu.Lock()
+			e.door.Set(x)
+			e.dmu.Unlock()
+		case advice.Notice:
+			e.cfg.Log.Info().Str("script", x.Script).Str("target", x.Target).Msg("notice")
+			if e.cfg.Notify != nil {
+				e.cfg.Notify(x)
+			}
+		case advice.Dropped:
+			e.cfg.Log.Debug().Str("script", x.Script).Str("kind", x.Item.Kind).Str("why", x.Why).Msg("advice dropped")
+		}
+	}
+}
+
+// follow makes what the lifecycle has decided true.
+func (e *Engine) follow() {
+	changes, dirty := e.life.Take()
+	for _, c := range changes {
+		ev := e.cfg.Log.Info()
+		if c.Alarm {
+			ev = e.cfg.Log.Error()
+		}
+		ev.Str("script", c.Script).Msg("hook: " + c.Text)
+		old := e.ran[c.Script]
+		if c.Live == nil {
+			if delete(e.ran, c.Script); old != nil {
+				if text, err := old.state.MarshalJSON(); err == nil { // it may come back
+					e.states[c.Script] = text
+				}
+				e.advise([]advice.Event{advice.Ended{Script: c.Script}})
+			}
+		} else if old == nil || old.version != c.Live.Number {
+			r, err := e.prepare(c.Script, c.Live)
+			if err != nil { // checked when it was loaded
+				e.cfg.Log.Error().Str("script", c.Script).Err(err).Msg("hook does not compile")
+				continue
+			}
+			if old != nil { // the new version goes on with what the old one has stored
+				r.state = r.p.Take(old.state)
+			} else if st := e.states[c.Script]; st != nil {
+				if s, err := r.p.Restore(st); err == nil {
+					r.state = s
+				}
+			}
+			r.changed = true
+			e.ran[c.Script] = r
+			e.advise([]advice.Event{advice.Live{Script: c.Script, Version: r.version}})
+		}
+		s := e.life.Find(c.Script)
+		if s == nil {
+			delete(e.states, c.Script)
+		}
+		if s == nil || s.Shadow == nil {
+			delete(e.shadow, c.Script)
+		} else if sh := e.shadow[c.Script]; sh == nil || sh.version != s.Shadow.Number {
+			if r, err := e.prepare(c.Script, s.Shadow); err == nil {
+				if live := e.ran[c.Script]; live != nil {
+					r.state = r.p.Take(live.state)
+				}
+				e.shadow[c.Script] = r
+			}
+		}
+	}
+	if len(changes) > 0 {
+		e.publish()
+	}
+	if dirty {
+		e.append(record{Scripts: e.life.Scripts, Last: e.life.Last})
+	}
+}
+
+// publish shows the goroutines of calls what is live.
+func (e *Engine) publish() {
+	var l []inline
+	m := map[string]bool{}
+	for _, s := range e.life.Scripts {
+		r, sh := e.ran[s.Name], e.shadow[s.Name]
+		for _, x := range []*running{r, sh} {
+			if x == nil {
+				continue
+			}
+			points, _ := x.p.Points()
+			for _, p := range points {
+				m[p] = true
+			}
+		}
+		if r != nil && r.p.Has("arrive") {
+			l = append(l, inline{s.Name, r.version, r.p, r.state, sh})
+		}
+	}
+	e.live.Store(&l)
+	e.points.Store(&m)
+}
--- /dev/null
+++ b/hooks/hooks_test.go
@@ -0,0 +1,318 @@
+package hooks
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kitehub/advice"
+	"kitehub/hook"
+	"kitehub/internal/clock"
+	"kitehub/store"
+)
+
+const sec = time.Second
+
+// Faults in a row open the circuit, longer each time and with jitter; then the version before takes over, and at last there
+// is quarantine.
+func TestCircuit(t *testing.T) {
+	l := NewLifecycle(LifeSettings{}, 1)
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, err := l.Load("a", "one", "x", false)
+	must(err)
+	_, err = l.Load("a", "two", "x", false)
+	must(err)
+	s := l.Find("a")
+	now, opened := time.Duration(0), []time.Duration{}
+	for n := 0; s.Live.Text == "two" && n < 1000; n++ {
+		if s.open {
+			back := s.until - now
+			opened = append(opened, back)
+			now = s.until
+			l.Due(now)
+		}
+		l.Ran(now, "a", s.Live.Number, "raised", 1)
+	}
+	if s.Live.Text != "one" || s.Before.Bad == "" || len(opened) != 4 {
+		t.Fatalf("%+v after %v", s, opened)
+	}
+	for i, back := range opened {
+		if least := sec << i; back < least || back > least*3/2 {
+			t.Errorf("open for %v the %d. time", back, i+1)
+		}
+	}
+	if err := l.Rollback("a"); err == nil {
+		t.Error("back to a version that was given up")
+	}
+	for n := 0; s.Live.Bad == "" && n < 1000; n++ {
+		if s.open {
+			now = s.until
+			l.Due(now)
+		}
+		l.Ran(now, "a", s.Live.Number, "raised", 1)
+	}
+	if s.Status(now) != "quarantined" {
+		t.Error(s.Status(now))
+	}
+	must(l.Release("a"))
+	if s.Status(now) != "live" {
+		t.Error(s.Status(now))
+	}
+	l.Ran(now, "a", s.Live.Number, "x", 1)
+	l.Ran(now, "a", s.Live.Number, "", 1) // one good run begins the count anew
+	l.Ran(now, "a", s.Live.Number, "x", 1)
+	l.Ran(now, "a", s.Live.Number, "x", 1)
+	l.Ran(now, "a", 1, "x", 1) // two was version 2, and this is one again: of version 1
+	if s.Live.Number == 1 && s.Status(now) != "open" {
+		t.Error("three faults in a row do not open it")
+	}
+	before := s.Tally
+	l.Ran(now, "a", 99, "x", 1) // a run of a version that is gone says nothing
+	if s.Tally != before {
+		t.Error(s.Tally)
+	}
+}
+
+func TestPromotion(t *testing.T) {
+	l := NewLifecycle(LifeSettings{Trial: 3}, 1)
+	l.Load("a", "one", "x", false)
+	v, _ := l.Load("a", "two", "x", true)
+	if again, _ := l.Load("a", "two", "x", true); again != v {
+		t.Error("the same text is a new version")
+	}
+	if err := l.Promote("a", false); err == nil || !strings.Contains(err.Error(), "0 runs of 3") {
+		t.Error(err)
+	}
+	for range 3 {
+		l.Tried("a", v, "", 10, false)
+	}
+	l.Tried("a", v, "x", 10, false)
+	if err := l.Promote("a", false); err == nil || !strings.Contains(err.Error(), "1 faults, 3 differ") {
+		t.Error(err)
+	}
+	if err := l.Promote("a", true); err != nil || l.Find("a").Live.Number != v || l.Find("a").Before.Text != "one" {
+		t.Error(err, l.Find("a"))
+	}
+	if err := l.Rollback("a"); err != nil || l.Find("a").Live.Text != "one" {
+		t.Error(err)
+	}
+	for _, name := range []string{"", "A", "../x", strings.Repeat("a", 65)} {
+		if _, err := l.Load(name, "x", "x", false); err == nil {
+			t.Errorf("%q is taken", name)
+		}
+	}
+}
+
+// A host is what an engine speaks to.
+type host struct {
+	mu    sync.Mutex
+	said  []string
+	notes []advice.Notice
+}
+
+func (h *host) Warm(f string, n int, until time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.said = append(h.said, fmt.Sprintf("warm %s %d", f, n))
+}
+func (h *host) Regard(w string, rank int, until time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.said = append(h.said, fmt.Sprintf("regard %s %d", w, rank))
+}
+func (h *host) Function(n string) (float64, bool) { return 1, strings.HasPrefix(n, "f") }
+func (h *host) Tenant(n string) bool              { return n == "t" }
+
+func (h *host) words() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return strings.Join(h.said, ", ")
+}
+
+func engine(t *testing.T, h *host, clk clock.Clock, dir string) *Engine {
+	t.Helper()
+	cfg := Config{Advice: advice.Settings{Cap: 100}, Facts: h, Sink: h, Clock: clk, Log: zerolog.Nop(), Keep: time.Nanosecond,
+		Notify: func(n advice.Notice) { h.mu.Lock(); h.notes = append(h.notes, n); h.mu.Unlock() }}
+	if dir != "" {
+		cfg.FS = store.Dir(dir)
+	}
+	e, err := Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { e.Close() })
+	e.Workers([]advice.Worker{{Name: "w1", Ready: true}, {Name: "w2", Ready: true}, {Name: "w3", Ready: true}, {Name: "w4", Ready: true}})
+	return e
+}
+
+// all waits until what was posted before has been run.
+func all(t *testing.T, e *Engine) {
+	t.Helper()
+	for len(e.queue) > 0 {
+		if err := e.do(func() {}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e.do(func() {})
+	e.do(func() {}) // the turn of the one before has ended, timers and all
+}
+
+func load(t *testing.T, e *Engine, name, text string, shadow bool) {
+	t.Helper()
+	if _, _, err := e.Load(name, text, "test", shadow); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const counter = "state n int = 0\non ended(e) {\nn += 1\nkeep_warm(\"f\" + str(n), 1, 1h)\n}\n"
+
+// State and versions outlive the process, also one that was cut off, and a new version goes on with the state.
+func TestEngineRestarts(t *testing.T) {
+	h, clk, dir := &host{}, clock.NewManual(time.Unix(1000, 0)), t.TempDir()
+	e := engine(t, h, clk, dir)
+	load(t, e, "a", counter, false)
+	for range 3 {
+		e.Post("ended", hook.Ended{})
+	}
+	e.Post("timer", hook.Tick{}) // nobody wants it
+	all(t, e)
+	if got := h.words(); got != "warm f1 1, warm f2 1, warm f3 1" {
+		t.Fatal(got)
+	}
+	if n := e.Counts.Posted.Load(); n != 3 {
+		t.Errorf("%d posted", n)
+	}
+	e.Close()
+	h = &host{}
+	e = engine(t, h, clk, dir)
+	load(t, e, "a", strings.Replace(counter, "1h", "2h", 1), false)
+	e.Post("ended", hook.Ended{})
+	all(t, e)
+	if got := h.words(); got != "warm f4 1" {
+		t.Error(got)
+	}
+	o, err := e.Overview()
+	if err != nil || len(o.Scripts) != 1 || o.Scripts[0].Live != 2 || o.Scripts[0].Before != 1 || !strings.Contains(o.Scripts[0].State, "n int = 4") {
+		t.Errorf("%v %+v", err, o)
+	}
+	if err := e.Remove("a"); err != nil {
+		t.Fatal(err)
+	}
+	all(t, e)
+	if got := h.words(); got != "warm f4 1, warm f4 0" {
+		t.Error(got)
+	}
+	for range 2 * recordsKept { // snapshots among them
+		load(t, e, "a", counter, false)
+		load(t, e, "a", counter+"\n", false)
+	}
+	e.Close()
+	if l, _ := os.ReadDir(dir); len(l) > 4 {
+		t.Errorf("%d files after snapshots", len(l))
+	}
+	e = engine(t, h, clk, dir)
+	if o, _ := e.Overview(); o.Scripts[0].Live == 0 {
+		t.Errorf("%+v", o)
+	}
+}
+
+// A script that breaks is shut out, its advice withdrawn, its state as it was before; others go on. Shut out, it costs nothing.
+func TestEngineShutsOut(t *testing.T) {
+	h, clk := &host{}, clock.NewManual(time.Unix(1000, 0))
+	e := engine(t, h, clk, "")
+	load(t, e, "bad", "state n int = 0\non ended(e) {\nn += 1\nkeep_warm(\"f0\", 1, 1h)\nif n > 2 { for i in 0..9223372036854775807 {} }\n}\n", false)
+	load(t, e, "good", counter, false)
+	for range 10 {
+		e.Post("ended", hook.Ended{})
+	}
+	all(t, e)
+	o, _ := e.Overview()
+	if b := o.Scripts[0]; b.Status != "open" || b.Tally.Runs != 5 || b.Tally.Faults != 3 || !strings.Contains(b.Fault, "fuel") {
+		t.Errorf("%+v", b)
+	}
+	if g := o.Scripts[1]; g.Status != "live" || g.Tally.Runs != 10 {
+		t.Errorf("%+v", g)
+	}
+	if got := h.words(); strings.Count(got, "warm f0 1") != 1 || strings.Count(got, "warm f0 0") != 1 {
+		t.Error(got)
+	}
+}
+
+// A shadow sees what the live version sees, its advice goes nowhere, and differences are counted.
+func TestEngineShadow(t *testing.T) {
+	h, clk := &host{}, clock.NewManual(time.Unix(1000, 0))
+	e := engine(t, h, clk, "")
+	load(t, e, "a", "on ended(e) { keep_warm(\"f1\", 1, 1h) }\non arrive(c) { annotate(\"k\", \"1\") }", false)
+	load(t, e, "a", "on ended(e) { keep_warm(e.function, 1, 1h) }\non arrive(c) { annotate(\"k\", \"2\") }", true)
+	e.Post("ended", hook.Ended{Function: "f1"})
+	e.Post("ended", hook.Ended{Function: "f2"})
+	v := e.Arrive(hook.Call{})
+	all(t, e)
+	o, _ := e.Overview()
+	if tr := o.Scripts[0].Trial; tr.Runs != 3 || tr.Differ != 2 || h.words() != "warm f1 1" || v.Notes[0].Text != "1" {
+		t.Errorf("%+v, %s, %+v", tr, h.words(), v)
+	}
+	if err := e.Promote("a", true); err != nil {
+		t.Fatal(err)
+	}
+	if v := e.Arrive(hook.Call{}); v.Notes[0].Text != "2" {
+		t.Error(v)
+	}
+}
+
+// While a script runs aside for long, calls are judged, posts do not wait, and what is too much is dropped and counted.
+func TestEngineNeverWaits(t *testing.T) {
+	h, clk := &host{}, clock.NewManual(time.Unix(1000, 0))
+	e := engine(t, h, clk, "")
+	load(t, e, "a", "on ended(e) { log(\"x\") }\non arrive(c) { if c.tenant == \"t\" { refuse(\"no\") } }", false)
+	hold, held := make(chan struct{}), make(chan struct{})
+	go e.do(func() { close(held); <-hold })
+	<-held
+	for range 10_000 {
+		e.Post("ended", hook.Ended{})
+	}
+	if v := e.Arrive(hook.Call{Tenant: "t"}); !v.Unwanted || v.Why != "hook: no" {
+		t.Error(v)
+	}
+	if n := e.Counts.Dropped.Load(); n != 10_001-4096 {
+		t.Errorf("%d dropped", n)
+	}
+	close(hold)
+	all(t, e)
+}
+
+// Timers run at their time, late ones are not made up for; notices go out; tenants' weights and caps hold at the door.
+func TestEngineTimers(t *testing.T) {
+	h, clk := &host{}, clock.NewManual(time.Unix(1000, 0))
+	e := engine(t, h, clk, "")
+	load(t, e, "a", "on timer(t) every 5s {\nnotify(\"ops\", str(t.count))\ntenant_weight(\"t\", 2.0, 1m)\ntenant_cap(\"t\", 0.01, 1m)\navoid(\"w1\", 1m)\n}", false)
+	clk.Advance(5 * sec)
+	all(t, e)
+	clk.Advance(60 * sec)
+	all(t, e)
+	all(t, e)
+	h.mu.Lock()
+	if len(h.notes) != 2 || h.notes[1].Text != "2" {
+		t.Error(h.notes)
+	}
+	h.mu.Unlock()
+	if h.words() != "regard w1 -1, regard w1 0, regard w1 -1" && h.words() != "regard w1 -1, regard w1 -1" {
+		t.Error(h.words())
+	}
+	if v := e.Arrive(hook.Call{Tenant: "t"}); v.Unwanted || v.Weight != 2 {
+		t.Error(v)
+	}
+	if v := e.Arrive(hook.Call{Tenant: "t"}); !v.Unwanted {
+		t.Error(v)
+	}
+}
