--- a/choice/advice_test.go
+++ b/choice/advice_test.go
@@ -135,3 +135,52 @@
 		t.Errorf("%v of 4000 pass: 1/16, 1/4 and 1/2 are wanted", pass)
 	}
 }
+
+// Two processes of one controller, one after the other, keep one load budget; the one that retires sends nothing to the cold.
+func TestInheritedBudget(t *testing.T) {
+	s := base()
+	s.Loading.Window, s.Loading.Free, s.Loading.Ratio = 10*time.Second, 8, 0
+	old, next := start(t, s, ready(1, 2, 3, 4)...), start(t, s, ready(1, 2, 3, 4)...)
+	want := func(n int) (in []Event) {
+		for f := range n {
+			in = append(in, Wanted{Function: FunctionID(f + 1), Copies: 4, Until: time.Hour})
+		}
+		return in
+	}
+	first := len(pickOut[Hold](old.Step(2*time.Second, want(1))))
+	old.Step(3*time.Second, []Event{Retired{On: true}})
+	for f := range 10 { // prepared for calls beyond home, which advice does not limit
+		if old.prepare(old.queue(FunctionID(100+f)), old.order[0]) {
+			t.Fatal("a retired one orders a load")
+		}
+	}
+	next.Step(3*time.Second, []Event{old.Spent()})
+	n := 0
+	for f := range 20 {
+		for _, w := range next.order {
+			if next.prepare(next.queue(FunctionID(200+f)), w) {
+				n++
+			}
+		}
+	}
+	if first != 4 || n != 4 {
+		t.Errorf("%d orders of the old one, %d of the new one: 8 in a window are allowed", first, n)
+	}
+	if next.Step(12*time.Second+1, nil); !next.mayOrder() {
+		t.Error("what was inherited does not expire")
+	}
+	old.Step(4*time.Second, []Event{Retired{}})
+	if !old.mayOrder() {
+		t.Error("one that goes on has no budget")
+	}
+	w := old.order[0]
+	w.coldFrom, w.Started = 4*time.Second, 4*time.Second
+	old.Step(5*time.Second, []Event{Retired{On: true}})
+	w.credit = 100
+	if old.share(w) < 1 && old.coldRoom(w, 0.001) {
+		t.Error("a retired one sends to a cold worker")
+	}
+	if old.share(w) >= 1 {
+		t.Error("the worker is not cold: nothing is shown")
+	}
+}
--- a/choice/api.go
+++ b/choice/api.go
@@ -319,18 +319,27 @@
 	Until  time.Duration
 }
 
-func (Wanted) event()   {}
-func (Regarded) event() {}
-func (List) event()     {}
-func (Staged) event()   {}
-func (Arrival) event()  {}
-func (Started) event()  {}
-func (Returned) event() {}
-func (HungUp) event()   {}
-func (Timer) event()    {}
-func (Probed) event()   {}
-func (Message) event()  {}
-func (Held) event()     {}
+// Inherited begins with what another process has used up for this controller: when it ordered loads, and when requests came.
+type Inherited struct{ Orders, Arrivals []time.Duration }
+
+// Retired says that another process takes over: what is in hand is finished, with no order to load and nothing more to a
+// cold worker, as the other one now has both budgets. On false it is so no longer.
+type Retired struct{ On bool }
+
+func (Inherited) event() {}
+func (Retired) event()   {}
+func (Wanted) event()    {}
+func (Regarded) event()  {}
+func (List) event()      {}
+func (Staged) event()    {}
+func (Arrival) event()   {}
+func (Started) event()   {}
+func (Returned) event()  {}
+func (HungUp) event()    {}
+func (Timer) event()     {}
+func (Probed) event()    {}
+func (Message) event()   {}
+func (Held) event()      {}
 
 // An Action is one of the types below.
 type Action interface{ action() }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -91,6 +91,10 @@
 			d.answered(d.workers[e.Worker], e.Outcome)
 		case Staged:
 			d.stage(e)
+		case Inherited:
+			d.orders, d.arrivals = append(d.orders, e.Orders...), append(d.arrivals, e.Arrivals...)
+		case Retired:
+			d.retired = e.On
 		case Wanted:
 			d.wanted = replace(d.wanted, e, func(o Wanted) uint64 { return uint64(o.Function) },
 				e.Copies > 0)
@@ -611,8 +615,8 @@
 // answered; a window of fewer than coldDraws calls gets none.
 func (d *Dispatcher) coldRoom(w *worker, work float64) bool {
 	share, g, n := d.share(w), d.s.Guarantees, float64(d.s.Controllers)
-	if share >= 1 {
-		return true
+	if share >= 1 || d.retired {
+		return share >= 1
 	}
 	window, dt := creditKeep*g.FallWithin.Seconds(), max(0, (d.now-max(w.creditAt, w.coldFrom)).Seconds())
 	kept, gain := math.Exp(-dt/window), 0.0
@@ -877,8 +881,8 @@
 // mayOrder keeps the load budget: an exact count of orders and requests within the window.
 func (d *Dispatcher) mayOrder() bool {
 	l := d.s.Loading
-	if !l.Orders || l.Window == 0 {
-		return l.Orders
+	if !l.Orders || l.Window == 0 || d.retired {
+		return l.Orders && !d.retired
 	}
 	from := d.now - l.Window
 	d.arrivals = slices.DeleteFunc(d.arrivals, func(t time.Duration) bool { return t <= from })
--- a/choice/state.go
+++ b/choice/state.go
@@ -31,6 +31,7 @@
 	paces     []float64       // scratch
 	arrivals  []time.Duration // within the load window
 	orders    []time.Duration
+	retired   bool       // another process has the budgets
 	wanted    []Wanted   // by function
 	regarded  []Regarded // by worker
 }
@@ -182,3 +183,8 @@
 	slices.Sort(v)
 	return v[len(v)/2]
 }
+
+// Spent returns what a process that takes over begins with.
+func (d *Dispatcher) Spent() Inherited {
+	return Inherited{slices.Clone(d.orders), slices.Clone(d.arrivals)}
+}
--- a/cmd/kitehub/serve.go
+++ b/cmd/kitehub/serve.go
@@ -5,19 +5,24 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
+	"golang.org/x/sys/unix"
 
 	"kitehub/config"
 	"kitehub/controller"
+	"kitehub/daemon"
 	"kitehub/internal/clock"
 )
 
 type serveCmd struct {
-	Config string `required:"" type:"path" help:"Configuration, in protobuf text format."`
+	Config   string `required:"" type:"path" help:"Configuration, in protobuf text format."`
+	TakeOver bool   `help:"Take the place of the controller that runs with daemon.handover: it finishes what it has in hand."`
 }
 
 // logLines is how many log lines wait for a slow standard error before some are dropped, and counted.
@@ -41,17 +46,85 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	sup, err := daemon.FromEnv(os.Getenv, os.Getpid())
+	if err != nil {
+		return err
+	}
+	tell := func(err error) {
+		if err != nil {
+			log.Warn().Err(err).Msg("supervisor not told")
+		}
+	}
+	dir := filepath.Dir(b.Mark)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return fmt.Errorf("state_dir: %w", err)
+	}
+	loop, starts := daemon.Loop{Most: int(b.Daemon.GetStarts()), Within: time.Duration(b.Daemon.GetWithinMs() * 1e6)}, filepath.Join(dir, "starts.json")
+	loop.Load(starts)
+	begun := time.Now().UTC().Round(0)
+	careful := loop.Begin(begun) && !s.TakeOver
+	ended := func() error { // a successor may have written its own start meanwhile
+		loop.Load(starts)
+		loop.End(begun)
+		return loop.Save(starts)
+	}
+	if err := loop.Save(starts); err != nil {
+		return fmt.Errorf("state_dir: %w", err)
+	}
+	if careful {
+		log.Error().Int("starts", loop.Most).Dur("within", loop.Within).Msg("crash loop: started without hooks")
+	}
+	pidFile := b.Daemon.GetPidFile()
+	if pidFile != "" {
+		if !s.TakeOver {
+			if err := daemon.WritePID(pidFile, os.Getpid()); err != nil {
+				return err
+			}
+		}
+		defer func() { daemon.RemovePID(pidFile, os.Getpid()) }()
+	}
 	reload := make(chan chan error)
-	c, err := controller.Start(b, controller.Options{Clock: clock.System(), Log: log, Reload: func() error {
+	o := controller.Options{Clock: clock.System(), Log: log, NoHooks: careful, Reload: func() error {
 		done := make(chan error, 1)
 		reload <- done
 		return <-done
-	}})
+	}}
+	var c *controller.Controller
+	if s.TakeOver {
+		if b.Daemon.GetHandover() == "" {
+			return errors.New("--take-over: the configuration has no daemon.handover")
+		}
+		c, err = controller.TakeOver(b.Daemon.Handover, func(after *controller.Succession) (*controller.Controller, error) {
+			o.After = after
+			return controller.Start(b, o)
+		})
+		if err == nil && pidFile != "" {
+			err = os.WriteFile(pidFile, []byte(strconv.Itoa(os.Getpid())+"\n"), 0o644)
+		}
+		if err == nil {
+			tell(sup.Main(os.Getpid()))
+		}
+	} else {
+		c, err = controller.Start(b, o)
+	}
 	if err != nil {
 		return err
 	}
+	tell(sup.Ready("serving on " + c.Addr()))
+	if every := sup.Every(); every > 0 {
+		go func() {
+			for c.Gateway.Alive() == nil { // a loop that hangs is not told of
+				tell(sup.Alive())
+				time.Sleep(every)
+			}
+		}()
+	}
 	log.Info().Str("listen", c.Addr()).Msg("serving")
 	again := func() error {
+		var mono unix.Timespec
+		unix.ClockGettime(unix.CLOCK_MONOTONIC, &mono)
+		tell(sup.Reloading(mono.Nano() / 1000))
+		defer func() { tell(sup.Ready("serving on " + c.Addr())) }()
 		err := s.reload(c)
 		if err != nil {
 			log.Error().Err(err).Msg("clients and scripts not all read anew: the old ones stay")
@@ -62,6 +135,9 @@
 	}
 	for run := true; run; {
 		select {
+		case <-c.Over():
+			log.Info().Msg("a successor has taken over")
+			return ended()
 		case done := <-reload:
 			done <- again()
 		case sig := <-signals:
@@ -78,6 +154,7 @@
 		}
 	}()
 	log.Info().Int("open", c.Gateway.Open()).Msg("stopping")
+	tell(sup.Stopping())
 	done := make(chan error, 1)
 	go func() { done <- c.Stop(b.Stop) }()
 	for {
@@ -86,7 +163,7 @@
 			n := &c.Gateway.Counts
 			log.Info().Int64("served", n.Served.Load()).Int64("refused", n.Refused.Load()).Int64("failed", n.Failed.Load()).
 				Int64("gone", n.Gone.Load()).Int64("turned", n.Turned.Load()).Msg("stopped")
-			return err
+			return errors.Join(err, ended())
 		case sig := <-signals:
 			if sig != syscall.SIGHUP {
 				return errors.New("ended by a second signal: what was in hand has no answer")
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -48,6 +48,8 @@
 	NoHooks bool
 	// Reload is what the operators' method reload brings about.
 	Reload func() error
+	// After, where set, is what another process hands over: see TakeOver.
+	After *Succession
 }
 
 // A Controller runs until Stop or Kill.
@@ -75,6 +77,13 @@
 	tap         tap
 	rpcListener net.Listener
 	draining    atomic.Bool
+	successors  *net.UnixListener
+	unlocked    bool
+	o           Options
+	over        chan struct{}
+	afterDone   func()
+	served      chan struct{} // closed when nothing more is accepted
+	following   chan struct{} // closed when the process before is done; nil: there was none
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{} // to workers, for Kill
@@ -84,7 +93,7 @@
 
 // Start runs a controller. Its state folder is made if it is not there, and locked against a second controller.
 func Start(b *config.Built, o Options) (*Controller, error) {
-	c := &Controller{b: b, log: o.Log, conns: map[net.Conn]struct{}{}}
+	c := &Controller{b: b, log: o.Log, conns: map[net.Conn]struct{}{}, o: o, over: make(chan struct{}), served: make(chan struct{})}
 	if err := c.start(o); err != nil {
 		c.Kill()
 		return nil, err
@@ -138,8 +147,22 @@
 	wc := b.Webhook
 	if b.Registry != "" {
 		ms.gateway, ms.functions = c.Gateway, functions
-		c.agent = agent.Start(agent.Config{Client: &client.Client{Server: b.Registry, Name: b.Name, Key: b.Key, Wall: o.Clock.Wall,
-			Dial: c.tracked((&net.Dialer{}).DialContext)}, Node: b.Name, Clock: o.Clock, Log: o.Log, Moved: c.Gateway.Sweep, Stage: ms.stage, Ready: func(a *agent.Agent) { ms.agent = a }})
+		ask := func() {
+			a := agent.Start(agent.Config{Client: &client.Client{Server: b.Registry, Name: b.Name, Key: b.Key, Wall: o.Clock.Wall,
+				Dial: c.tracked((&net.Dialer{}).DialContext)}, Node: b.Name, Clock: o.Clock, Log: o.Log, Moved: c.Gateway.Sweep, Stage: ms.stage, Ready: func(a *agent.Agent) { ms.agent.Store(a) }})
+			c.mu.Lock()
+			c.agent = a
+			dead := c.dead.Load() || c.ended.Load()
+			c.mu.Unlock()
+			if dead {
+				a.Stop()
+			}
+		}
+		if o.After == nil {
+			ask()
+		} else { // one name asks once: what it confirms would stand for the process before as well
+			c.afterDone = ask
+		}
 		wc.Models = ms
 		if o.Models != nil {
 			wc.Models = o.Models(ms)
@@ -148,16 +171,26 @@
 	wc.Gateway, wc.Clock, wc.Log, wc.Mark, wc.Functions = c.Gateway, o.Clock, o.Log, webhook.File(b.Mark), functions.Find
 	wc.Deadline = func(class int) time.Duration { return b.Settings.Classes[class].Deadline }
 	wc.Effect = func(class int) choice.Effect { return b.Settings.Classes[class].Effect }
+	if o.After != nil {
+		wc.State = &o.After.s.state.Front
+		c.Gateway.Inherit(o.After.s.state.Spent)
+	}
 	if c.Front, err = webhook.New(wc, b.Clients); err != nil {
 		return fmt.Errorf("replay mark: %w", err)
 	}
-	if b.Network == "unix" { // a socket that a killed process left behind must not stop this start
+	if o.After != nil {
+		if c.ln, err = o.After.listener(0); err != nil {
+			return err
+		}
+	} else if b.Network == "unix" { // a socket that a killed process left behind must not stop this start
 		if err := removeSocket(b.Listen); err != nil {
 			return err
 		}
 	}
-	if c.ln, err = net.Listen(b.Network, b.Listen); err != nil {
-		return fmt.Errorf("webhook.listen: %w", err)
+	if o.After == nil {
+		if c.ln, err = net.Listen(b.Network, b.Listen); err != nil {
+			return fmt.Errorf("webhook.listen: %w", err)
+		}
 	}
 	c.wc = wc
 	if err := c.startHooks(o); err != nil {
@@ -177,16 +210,26 @@
 	if o.Handler != nil {
 		handler = o.Handler(handler)
 	}
+	if o.After != nil {
+		if err := o.After.granted(); err != nil {
+			return err
+		}
+	}
 	if err := c.startRPC(o); err != nil {
 		return err
 	}
 	c.HTTP = &http1.Server{Handler: handler, Limits: b.HTTP, MaxOpen: b.MaxOpen}
 	go func() {
+		defer close(c.served)
 		if err := c.HTTP.Serve(c.ln); err != nil {
 			o.Log.Error().Err(err).Msg("listener")
 		}
 	}()
-	return nil
+	if o.After != nil {
+		c.following = make(chan struct{})
+		go o.After.follow(c)
+	}
+	return c.serveHandover()
 }
 
 func removeSocket(name string) error {
@@ -286,12 +329,13 @@
 		c.RPC.Drain(time.Second)
 	}
 	c.watch.Stop()
+	if c.successors != nil {
+		c.successors.Close()
+	}
 	err := c.Front.Close()
 	c.endHooks()
 	c.Backend.Close()
-	if c.agent != nil {
-		c.agent.Stop()
-	}
+	c.stopAgent()
 	if c.peers != nil {
 		c.peers.close()
 	}
@@ -299,6 +343,15 @@
 	return err
 }
 
+func (c *Controller) stopAgent() {
+	c.mu.Lock()
+	a := c.agent
+	c.mu.Unlock()
+	if a != nil {
+		a.Stop()
+	}
+}
+
 func (c *Controller) endHooks() {
 	if c.hooks != nil {
 		c.hooks.Close()
@@ -342,6 +395,9 @@
 	if c.rpcListener != nil {
 		c.rpcListener.Close()
 	}
+	if c.successors != nil {
+		c.successors.Close()
+	}
 	if c.Gateway != nil {
 		c.Gateway.Kill()
 	}
@@ -362,9 +418,7 @@
 	if c.Backend != nil {
 		c.Backend.Close()
 	}
-	if c.agent != nil {
-		c.agent.Stop()
-	}
+	c.stopAgent()
 	if c.peers != nil {
 		c.peers.close()
 	}
--- /dev/null
+++ b/controller/handover.go
@@ -0,0 +1,414 @@
+package controller
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"kitehub/choice"
+	"kitehub/daemon"
+	"kitehub/front/webhook"
+	"kitehub/replay"
+	"kitehub/store"
+)
+
+// Each stage of a handover must be over in this time; until it is, calls wait.
+const stageTime = 2 * time.Second
+
+// legacy is the state that goes over.
+type legacy struct {
+	Front webhook.State
+	Spent choice.Inherited
+	Open  int // calls in hand
+}
+
+// ended is how a call in hand of the old process ended.
+type ended struct {
+	Key replay.Key
+	End replay.Answer
+}
+
+// serveHandover lets successors come.
+func (c *Controller) serveHandover() error {
+	if c.b.Daemon.GetHandover() == "" {
+		return nil
+	}
+	ln, err := daemon.ListenLinks(c.b.Daemon.Handover)
+	if err != nil {
+		return fmt.Errorf("daemon.handover: %w", err)
+	}
+	c.successors = ln
+	go func() {
+		for {
+			uc, err := ln.AcceptUnix()
+			if err != nil {
+				return
+			}
+			c.handOver(daemon.NewLink(uc)) // one at a time
+		}
+	}()
+	return nil
+}
+
+// handOver is the old process's part. It returns when the other has taken over and all that is in hand here is answered, or
+// when nothing came of it.
+func (c *Controller) handOver(l *daemon.Link) {
+	defer l.Close()
+	var old daemon.Old
+	// As many as may be in hand: whoever answers a call never waits for the link.
+	halted, told := false, make(chan ended, c.b.Settings.Limits.Open+16)
+	for {
+		k, _, files, err := l.Receive(stageTime)
+		for _, f := range files {
+			f.Close()
+		}
+		var m daemon.Move
+		if err != nil {
+			m = old.Lost()
+		} else if m, err = old.Packet(k); err != nil {
+			l.Send(daemon.Abort, nil)
+		}
+		switch m {
+		case daemon.Offer:
+			if c.following != nil { // what the process before still gives must not come after this one has given all
+				select {
+				case <-c.following:
+				case <-time.After(stageTime):
+					err = errors.New("the process before is not done yet")
+				}
+			}
+			if err == nil {
+				err = l.Send(daemon.Sockets, nil, c.sockets()...)
+			}
+		case daemon.Halt:
+			halted = true
+			err = c.halt(l)
+		case daemon.Yield:
+			c.yield(l, told)
+			return
+		case daemon.GoOn:
+			c.log.Warn().Err(err).Msg("handover: nothing came of it")
+			l.Send(daemon.Abort, nil)
+			if halted {
+				c.goOn()
+			}
+			return
+		}
+		if err != nil {
+			old.Lost()
+			l.Send(daemon.Abort, nil)
+			if halted {
+				c.goOn()
+			}
+			c.log.Warn().Err(err).Msg("handover: nothing came of it")
+			return
+		}
+	}
+}
+
+// sockets are the listeners, in the order of inherit.
+func (c *Controller) sockets() (l []syscall.Conn) {
+	l = append(l, c.ln.(syscall.Conn))
+	if c.rpcListener != nil {
+		l = append(l, c.rpcListener.(syscall.Conn))
+	}
+	return l
+}
+
+// halt has everything new wait, and sends what the other must know. What is in hand goes on.
+func (c *Controller) halt(l *daemon.Link) error {
+	c.log.Info().Int("open", c.Gateway.Open()).Msg("handover: halted")
+	s := legacy{Front: c.Front.Pause(), Open: c.Gateway.Open()}
+	if c.RPC != nil {
+		c.RPC.Pause()
+	}
+	c.Gateway.Retire(true) // before its budgets are told: what it would still order would be counted by nobody
+	var err error
+	if s.Spent, err = c.Gateway.Spent(); err != nil {
+		return err
+	}
+	if c.hooks != nil {
+		c.tap.engine.Store(nil)
+		if err := c.hooks.Close(); err != nil {
+			c.log.Error().Err(err).Msg("hooks")
+		}
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	if err := l.SendAll(text); err != nil {
+		return err
+	}
+	if err := c.unlock(); err != nil {
+		return err
+	}
+	c.unlocked = true
+	return l.Send(daemon.Whole, nil)
+}
+
+// goOn takes back what halt gave. The folder may still be the other's for a moment.
+func (c *Controller) goOn() {
+	for c.unlocked && !c.dead.Load() {
+		unlock, err := store.Lock(filepath.Dir(c.b.Mark))
+		if err == nil {
+			c.unlock, c.unlocked = unlock, false
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Gateway.Retire(false)
+	if c.hooks != nil {
+		c.hooks = nil
+		if err := c.startHooks(c.o); err != nil {
+			c.log.Error().Err(err).Msg("hooks do not go on")
+		}
+	}
+	if c.RPC != nil {
+		c.RPC.Resume()
+	}
+	c.Front.Resume()
+}
+
+// yield gives the connections away and finishes what is in hand.
+func (c *Controller) yield(l *daemon.Link, told chan ended) {
+	c.log.Info().Int("open", c.Gateway.Open()).Msg("handover: the successor takes over")
+	c.draining.Store(true)
+	c.ended.Store(true) // Stop is this from here on
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		for e := range told {
+			if text, err := json.Marshal(e); err == nil && len(text) <= daemon.PartSize {
+				l.Send(daemon.Answer, text)
+			} else { // too large to be kept there: that it ended is told
+				e.End.Body, e.End.Status = nil, 502
+				text, _ = json.Marshal(e)
+				l.Send(daemon.Answer, text)
+			}
+		}
+	}()
+	l.Send(daemon.Go, nil)
+	var mu sync.Mutex
+	open := true
+	c.HTTP.Detach(func(nc net.Conn, read []byte) {
+		defer nc.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		if sc, ok := nc.(syscall.Conn); ok && open && len(read) <= daemon.PartSize {
+			if err := l.Send(daemon.Conn, read, sc); err != nil {
+				c.log.Warn().Err(err).Msg("handover: a connection is not given")
+			}
+		}
+	})
+	c.Front.Pass(func(k replay.Key, a replay.Answer) {
+		a.Tag = nil
+		told <- ended{k, a}
+	})
+	if u, ok := c.ln.(*net.UnixListener); ok {
+		u.SetUnlinkOnClose(false)
+	}
+	c.ln.Close()
+	<-c.served // what was accepted is among the connections
+	if c.rpcListener != nil {
+		c.rpcListener.(*net.UnixListener).SetUnlinkOnClose(false)
+		c.RPC.BeginStop()
+		c.RPC.Resume()
+		c.rpcListener.Close()
+	}
+	c.successors.Close()
+	c.watchless()
+	c.Gateway.Stop(c.b.Stop)
+	c.HTTP.Drain(time.Second)
+	mu.Lock()
+	open = false
+	mu.Unlock()
+	if c.RPC != nil {
+		c.RPC.Drain(time.Second)
+	}
+	c.Front.Close()
+	close(told)
+	<-sent
+	l.Send(daemon.Done, nil)
+	c.watch.Stop()
+	if c.notifier != nil {
+		c.notifier.Close()
+	}
+	c.Backend.Close()
+	c.stopAgent()
+	if c.peers != nil {
+		c.peers.close()
+	}
+	c.log.Info().Msg("handover: done")
+	close(c.over)
+}
+
+// Over is closed when a successor has taken over and nothing is in hand any more.
+func (c *Controller) Over() <-chan struct{} { return c.over }
+
+// A succession is the new process's part.
+type succession struct {
+	l     *daemon.Link
+	new   daemon.New
+	socks []*os.File
+	state legacy
+	alone bool
+}
+
+// receive takes the next packet and says what it leads to.
+func (s *succession) receive() (m daemon.Move, k daemon.Kind, b []byte, files []*os.File, err error) {
+	k, b, files, err = s.l.Receive(stageTime)
+	switch {
+	case errors.Is(err, daemon.ErrLate):
+		return s.new.Late(), k, b, files, err
+	case err != nil:
+		return s.new.Lost(), k, b, files, err
+	}
+	m, err = s.new.Packet(k)
+	return m, k, b, files, err
+}
+
+// TakeOver starts a controller in the place of one that runs. On an error the old one goes on.
+func TakeOver(path string, start func(*Succession) (*Controller, error)) (*Controller, error) {
+	l, err := daemon.DialLink(path)
+	if err != nil {
+		return nil, err
+	}
+	s := &succession{l: l}
+	fail := func(err error) (*Controller, error) {
+		l.Send(daemon.Abort, nil)
+		l.Close()
+		for _, f := range s.socks {
+			f.Close()
+		}
+		return nil, fmt.Errorf("take over: %w", err)
+	}
+	if err := l.Send(daemon.Hello, nil); err != nil {
+		return fail(err)
+	}
+	var text []byte
+	for {
+		m, _, b, files, err := s.receive()
+		switch m {
+		case daemon.Prepare:
+			s.socks = files
+			if err := l.Send(daemon.Wish, nil); err != nil {
+				return fail(err)
+			}
+		case daemon.Note:
+			text = append(text, b...)
+		case daemon.Take:
+			if err := json.Unmarshal(text, &s.state); err != nil {
+				return fail(err)
+			}
+			c, err := start(&Succession{s})
+			if err != nil {
+				return fail(err)
+			}
+			return c, nil
+		default:
+			if err == nil {
+				err = errors.New("the old process goes on")
+			}
+			return fail(err)
+		}
+	}
+}
+
+// A Succession is what a controller that takes over is started with.
+type Succession struct{ s *succession }
+
+// listener returns the i-th of the old process's sockets.
+func (s *Succession) listener(i int) (net.Listener, error) {
+	if i >= len(s.s.socks) {
+		return nil, errors.New("take over: the old process gave no such socket")
+	}
+	ln, err := net.FileListener(s.s.socks[i])
+	if err != nil {
+		return nil, err
+	}
+	s.s.socks[i].Close()
+	return ln, nil
+}
+
+// granted says that all is taken, and waits for the word to serve.
+func (s *Succession) granted() error {
+	if err := s.s.l.Send(daemon.Taken, nil); err != nil && s.s.new.Lost() != daemon.ServeAlone {
+		return err
+	}
+	for {
+		m, _, _, _, err := s.s.receive()
+		switch m {
+		case daemon.Serve:
+			return nil
+		case daemon.ServeAlone:
+			s.s.alone = true
+			return nil
+		case daemon.GiveUp:
+			if err == nil {
+				err = errors.New("the old process goes on")
+			}
+			return err
+		}
+	}
+}
+
+// follow takes connections and answers from the old process until it is done.
+func (s *Succession) follow(c *Controller) {
+	defer close(c.following)
+	defer s.s.l.Close()
+	running := map[replay.Key]bool{}
+	for _, r := range s.s.state.Front.Known {
+		if r.Running {
+			running[r.Key] = true
+		}
+	}
+	for !s.s.alone {
+		k, b, files, err := s.s.l.Receive(0)
+		if err != nil {
+			s.s.alone = s.s.new.Lost() == daemon.ServeAlone
+			break
+		}
+		if _, err := s.s.new.Packet(k); err != nil {
+			c.log.Error().Err(err).Msg("take over")
+		}
+		switch k {
+		case daemon.Conn:
+			for _, f := range files {
+				nc, err := net.FileConn(f)
+				f.Close()
+				if err != nil {
+					c.log.Error().Err(err).Msg("take over: a connection")
+					continue
+				}
+				c.HTTP.Adopt(nc, b)
+			}
+		case daemon.Answer:
+			var e ended
+			if err := json.Unmarshal(b, &e); err == nil {
+				delete(running, e.Key)
+				c.Front.Ended(e.Key, e.End)
+			}
+		}
+		if k == daemon.Done {
+			break
+		}
+	}
+	if len(running) > 0 { // the old process is gone, and with it these
+		var l []replay.Key
+		for k := range running {
+			l = append(l, k)
+		}
+		c.Front.Abandoned(l)
+	}
+	c.log.Info().Bool("alone", s.s.alone).Int("abandoned", len(running)).Msg("take over: done")
+	if c.afterDone != nil {
+		c.afterDone()
+	}
+}
--- /dev/null
+++ b/controller/handover_test.go
@@ -0,0 +1,249 @@
+package controller
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kitehub/daemon"
+	"kitehub/standin"
+)
+
+// handing is a rig whose controller can be taken over.
+func handing(t *testing.T, work time.Duration) (*rig, []string, string) {
+	r := newRig(t, 3, func(c *standin.Config) {
+		for i := range c.Functions {
+			c.Functions[i].Work = work
+		}
+	})
+	path := filepath.Join(r.dir, "h")
+	return r, append(withRPC(r, fmt.Sprintf("hooks {} daemon { handover: %q }", path)), "remembered: 1000", "remembered: 100000"), path
+}
+
+// succeed takes over from whoever runs.
+func (r *rig) succeed(path string, changes []string) (*Controller, error) {
+	return TakeOver(path, func(after *Succession) (*Controller, error) {
+		return Start(r.build("c", changes...), Options{Clock: r.clk, Log: zerolog.Nop(), After: after})
+	})
+}
+
+// load sends signed calls until stop is closed: on one kept connection, or on a new one for each. The ids tell its calls apart.
+func (r *rig) load(t *testing.T, addr, who, function string, fresh bool, stop chan struct{}, sent *atomic.Int64, got func(answer, time.Duration)) {
+	var nc net.Conn
+	var br *bufio.Reader
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		if nc == nil {
+			var err error
+			if nc, err = net.Dial("tcp", addr); err != nil {
+				t.Error(err)
+				return
+			}
+			defer nc.Close()
+			nc.SetDeadline(time.Now().Add(100 * time.Second))
+			br = bufio.NewReader(nc)
+		}
+		m := sign(t, common, "c", fmt.Sprint(who, "-", i), function, `{"x":1}`, time.Now())
+		begin := time.Now()
+		sent.Add(1)
+		nc.Write(m.bytes())
+		a := readAnswer(t, br, m)
+		got(a, time.Since(begin))
+		if a.status == 0 {
+			return
+		}
+		if fresh {
+			nc.Close()
+			nc = nil
+		}
+	}
+}
+
+// Fifty handovers in a row under load: each call has its one answer, no unsafe one runs twice, nothing is refused for them.
+func TestHandovers(t *testing.T) {
+	times := 50
+	if testing.Short() || racing {
+		times = 8
+	}
+	r, changes, path := handing(t, 5*ms)
+	c := r.start(r.build("c", changes...))
+	addr := c.Addr()
+	var sent atomic.Int64
+	var mu sync.Mutex
+	outcomes := map[string]int{}
+	var took []time.Duration
+	got := func(a answer, d time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		outcomes[a.String()]++
+		took = append(took, d)
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r.load(t, addr, fmt.Sprint("l", i), []string{"unsafe-1", "keyed-1", "safe-1"}[i%3], i >= 3, stop, &sent, got)
+		}()
+	}
+	for i := range times {
+		for sent.Load() < int64(20*(i+1)) && !t.Failed() {
+			time.Sleep(ms)
+		}
+		next, err := r.succeed(path, changes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(next.Kill)
+		<-c.Over()
+		c = next
+	}
+	close(stop)
+	wg.Wait()
+	slices.Sort(took)
+	n := int(sent.Load())
+	t.Logf("%d handovers, %d calls: %v; half took %v, 99%% %v, the longest %v", times, n, outcomes, took[len(took)/2], took[len(took)*99/100], took[len(took)-1])
+	if outcomes["200 served"] != n {
+		t.Errorf("of %d calls: %v", n, outcomes)
+	}
+	if ran := r.ran("unsafe-1") + r.ran("keyed-1") + r.ran("safe-1"); ran != n {
+		t.Errorf("%d runs of %d calls", ran, n)
+	}
+	if n < 10*times {
+		t.Errorf("%d calls: little is shown", n)
+	}
+}
+
+// A message in hand of the old process is not taken anew by its successor; the answer is kept there once it has come.
+func TestHandoverMidCall(t *testing.T) {
+	r, changes, path := handing(t, 600*ms)
+	old := r.start(r.build("c", changes...))
+	m := sign(t, common, "c", "once", "unsafe-1", `{"x":1}`, time.Now().Add(-5*time.Second))
+	first := make(chan answer)
+	go func() { first <- exchange(t, old.Addr(), m) }()
+	for old.Gateway.Open() == 0 {
+		time.Sleep(ms)
+	}
+	c, err := r.succeed(path, changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Kill)
+	again := func(after int) answer {
+		return exchange(t, c.Addr(), sign(t, common, "c", "once", "unsafe-1", `{"x":1}`, time.Now().Add(time.Duration(after-4)*time.Second)))
+	}
+	want(t, exchange(t, c.Addr(), m), "409 replayed")
+	want(t, again(0), "503 refused") // it runs in the other process
+	want(t, exchange(t, c.Addr(), sign(t, common, "c", "new", "safe-1", `{}`, time.Now())), "200 served")
+	want(t, <-first, "200 served")
+	<-old.Over()
+	for end := time.Now().Add(10 * time.Second); ; {
+		if a := again(1); a.status == 200 || time.Now().After(end) {
+			want(t, a, "200 served")
+			break
+		}
+	}
+	if n := r.ran("unsafe-1"); n != 1 {
+		t.Errorf("it ran %d times", n)
+	}
+}
+
+// Whatever end of a handover is killed at whatever stage, one process serves; before the last word it is the old one.
+func TestHandoverKilled(t *testing.T) {
+	for _, stage := range []string{"hello", "sockets", "wish", "whole", "taken", "garbage", "silent"} {
+		t.Run(stage, func(t *testing.T) {
+			r, changes, path := handing(t, ms)
+			c := r.start(r.build("c", changes...))
+			l, err := daemon.DialLink(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			step := func(say daemon.Kind, until daemon.Kind) {
+				t.Helper()
+				l.Send(say, nil)
+				for k := daemon.Kind(0); until != 0 && k != until; {
+					var files []interface{ Close() error }
+					kk, _, fs, err := l.Receive(10 * time.Second)
+					for _, f := range fs {
+						files = append(files, f)
+					}
+					for _, f := range files {
+						f.Close()
+					}
+					if err != nil {
+						t.Fatal(err)
+					}
+					k = kk
+				}
+			}
+			switch stage {
+			case "hello":
+			case "sockets":
+				step(daemon.Hello, daemon.Sockets)
+			case "wish":
+				step(daemon.Hello, daemon.Sockets)
+				step(daemon.Wish, 0)
+			case "whole":
+				step(daemon.Hello, daemon.Sockets)
+				step(daemon.Wish, daemon.Whole)
+			case "garbage":
+				step(daemon.Hello, daemon.Sockets)
+				step(daemon.Wish, daemon.Whole)
+				step(daemon.Done, daemon.Abort)
+			case "silent":
+				step(daemon.Hello, daemon.Sockets)
+				step(daemon.Wish, daemon.Whole)
+				step(0, daemon.Abort) // nothing that it knows
+			case "taken": // from here on the other has the sockets: this one finishes what it has, and ends
+				step(daemon.Hello, daemon.Sockets)
+				step(daemon.Wish, daemon.Whole)
+				step(daemon.Taken, daemon.Go)
+				l.Close()
+				<-c.Over()
+				if _, err := net.DialTimeout("tcp", c.Addr(), time.Second); !errors.Is(err, syscall.ECONNREFUSED) {
+					t.Error(err)
+				}
+				r.start(r.build("c", changes...)) // as its supervisor would
+				return
+			}
+			l.Close()
+			for i := range 3 {
+				want(t, exchange(t, c.Addr(), sign(t, common, "c", fmt.Sprint("m", i), "safe-1", `{}`, time.Now())), "200 served")
+			}
+			next, err := r.succeed(path, changes) // and a further one is not held up
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(next.Kill)
+			<-c.Over()
+			want(t, exchange(t, next.Addr(), sign(t, common, "c", "after", "safe-1", `{}`, time.Now())), "200 served")
+		})
+	}
+}
+
+// A successor whose configuration does not start leaves the old one as it was.
+func TestHandoverToBadSuccessor(t *testing.T) {
+	r, changes, path := handing(t, ms)
+	c := r.start(r.build("c", changes...))
+	_, err := TakeOver(path, func(after *Succession) (*Controller, error) { return nil, errors.New("it does not start") })
+	if err == nil || !strings.Contains(err.Error(), "it does not start") {
+		t.Error(err)
+	}
+	want(t, exchange(t, c.Addr(), sign(t, common, "c", "m", "safe-1", `{}`, time.Now())), "200 served")
+}
--- a/controller/models.go
+++ b/controller/models.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"kitehub/gateway"
@@ -15,7 +16,7 @@
 
 // models joins the registry's agent with the gateway's functions: what the front and the gateway ask of versions.
 type models struct {
-	agent     *agent.Agent
+	agent     atomic.Pointer[agent.Agent] // nil until it asks: with a handover, when the process before is done
 	functions *gateway.Functions
 	gateway   *gateway.Gateway
 	clock     clock.Clock
@@ -44,7 +45,11 @@
 // Bind implements front.Models.
 func (m *models) Bind(model *gateway.Function, alias string) (*gateway.Function, gateway.Bound, registry.Verdict) {
 	b := gateway.Bound{Name: registry.Name{Model: model.Name, Alias: alias}}
-	t, v := m.agent.Resolve(b.Name)
+	a := m.agent.Load()
+	if a == nil {
+		return nil, b, registry.NoLease
+	}
+	t, v := a.Resolve(b.Name)
 	if v != registry.May {
 		return nil, b, v
 	}
@@ -53,7 +58,7 @@
 		return nil, b, registry.Unknown
 	}
 	b.Target = t
-	m.agent.Use(b.Name, t)
+	a.Use(b.Name, t)
 	if m.tap != nil {
 		m.moved(b.Name, t)
 	}
@@ -62,10 +67,11 @@
 
 // current returns the version that a model's alias current names, as a function.
 func (m *models) current(model *gateway.Function) (*gateway.Function, registry.Target, bool) {
-	if m.agent == nil {
+	a := m.agent.Load()
+	if a == nil {
 		return nil, registry.Target{}, false
 	}
-	t, v := m.agent.Resolve(registry.Name{Model: model.Name, Alias: "current"})
+	t, v := a.Resolve(registry.Name{Model: model.Name, Alias: "current"})
 	if v != registry.May {
 		return nil, t, false
 	}
@@ -75,12 +81,12 @@
 
 // Unbind implements front.Models.
 func (m *models) Unbind(b gateway.Bound, ran, failed bool) {
-	m.agent.Unuse(b.Name, b.Target, ran, failed)
+	m.agent.Load().Unuse(b.Name, b.Target, ran, failed)
 }
 
 // Begin implements front.Models.
 func (m *models) Begin(b gateway.Bound) (func(), time.Duration, registry.Verdict) {
-	t, until, v := m.agent.Begin(b.Name, b.Target)
+	t, until, v := m.agent.Load().Begin(b.Name, b.Target)
 	if v != registry.May {
 		return nil, 0, v
 	}
@@ -88,18 +94,18 @@
 	if until > 0 {
 		within = max(1, until-m.clock.Now())
 	}
-	return func() { m.agent.End(t) }, within, v
+	return func() { m.agent.Load().End(t) }, within, v
 }
 
 // MayAnswer implements gateway.Versions.
 func (m *models) MayAnswer(n registry.Name, t registry.Target) registry.Verdict {
-	return m.agent.MayAnswer(n, t)
+	return m.agent.Load().MayAnswer(n, t)
 }
 
 // Stands implements gateway.Versions.
 func (m *models) Stands(function, worker string, copies int) {
 	if model, version, ok := strings.Cut(function, "@"); ok {
-		m.agent.Stands(registry.Bytes{Model: model, Version: version}, worker, copies)
+		m.agent.Load().Stands(registry.Bytes{Model: model, Version: version}, worker, copies)
 	}
 }
 
--- /dev/null
+++ b/controller/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package controller
+
+const racing = false
--- a/controller/operate.go
+++ b/controller/operate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -145,7 +146,13 @@
 	rc.Deadline, rc.Effect, rc.Models = wc.Deadline, wc.Effect, wc.Models
 	c.RPC = jsonrpc.New(rc)
 	c.tap.rpc.Store(c.RPC)
-	ln, err := jsonrpc.Listen(c.b.Socket, c.b.Mode)
+	var ln net.Listener
+	var err error
+	if o.After != nil {
+		ln, err = o.After.listener(1)
+	} else {
+		ln, err = jsonrpc.Listen(c.b.Socket, c.b.Mode)
+	}
 	if err != nil {
 		return fmt.Errorf("rpc.socket: %w", err)
 	}
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Each side, told each packet at each stage: what it does, and that only one of the two ever serves.
+func TestStages(t *testing.T) {
+	all := []Kind{Hello, Sockets, Wish, Part, Whole, Taken, Go, Conn, Answer, Done, Abort, '?'}
+	old := map[Kind][]Kind{0: nil, Sockets: {Hello}, Whole: {Hello, Wish}, Go: {Hello, Wish, Taken}}
+	good := map[string]Move{"0H": Offer, "LR": Halt, "ET": Yield}
+	for stage, before := range old {
+		for _, k := range all {
+			o := &Old{}
+			for _, b := range before {
+				o.Packet(b)
+			}
+			m, err := o.Packet(k)
+			name := strings.ReplaceAll(fmt.Sprintf("%c%c", stage, k), "\x00", "0")
+			want, ok := good[name]
+			switch {
+			case ok && (m != want || err != nil):
+				t.Errorf("old %s: %v, %v", name, m, err)
+			case !ok && stage == Go && m != Wait:
+				t.Errorf("old %s: %v after the last word", name, m)
+			case !ok && stage != Go && m != GoOn:
+				t.Errorf("old %s: %v", name, m)
+			}
+		}
+	}
+	steps := []Kind{Sockets, Part, Whole, Go, Done}
+	for n := range len(steps) + 1 {
+		for _, k := range append(all, 0, 1) { // 0: lost, 1: late
+			s := &New{}
+			for _, b := range steps[:n] {
+				s.Packet(b)
+			}
+			var m Move
+			switch k {
+			case 0:
+				m = s.Lost()
+			case 1:
+				m = s.Late()
+			default:
+				m, _ = s.Packet(k)
+			}
+			serves := m == Serve || m == ServeAlone
+			if may := n == 3 && (k == Go || k == 0) || n == 4 && k == 0; serves != may {
+				t.Errorf("new after %d steps, %c: %v", n, k, m)
+			}
+			if n < 3 && m == Take != (n == 2 && k == Whole) {
+				t.Errorf("new after %d steps, %c: %v", n, k, m)
+			}
+		}
+	}
+}
+
+func TestSupervisor(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "n")
+	c, err := net.ListenUnixgram("unixgram", &net.UnixAddr{Name: name, Net: "unixgram"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	env := map[string]string{"NOTIFY_SOCKET": name, "WATCHDOG_USEC": "3000000", "WATCHDOG_PID": "7"}
+	s, err := FromEnv(func(k string) string { return env[k] }, 7)
+	if err != nil || s.Every() != 1500*time.Millisecond {
+		t.Fatal(err, s)
+	}
+	if s, _ := FromEnv(func(k string) string { return env[k] }, 8); s.Every() != 0 {
+		t.Error("another's watchdog")
+	}
+	for _, x := range []struct {
+		err  error
+		want string
+	}{{s.Ready("ok"), "READY=1\nSTATUS=ok"}, {s.Reloading(5), "RELOADING=1\nMONOTONIC_USEC=5"}, {s.Stopping(), "STOPPING=1"}, {s.Alive(), "WATCHDOG=1"}, {s.Main(9), "MAINPID=9\nREADY=1"}} {
+		b := make([]byte, 100)
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if n, err := c.Read(b); x.err != nil || err != nil || string(b[:n]) != x.want {
+			t.Errorf("%v %v %q, %q is wanted", x.err, err, b[:n], x.want)
+		}
+	}
+	if err := s.Ready("a\nREADY=0"); err == nil {
+		t.Error("a line break is sent")
+	}
+	for _, bad := range []map[string]string{{"NOTIFY_SOCKET": "x"}, {"NOTIFY_SOCKET": "/x", "WATCHDOG_USEC": "-1"}} {
+		if _, err := FromEnv(func(k string) string { return bad[k] }, 7); err == nil {
+			t.Errorf("%v is taken", bad)
+		}
+	}
+	if s, err := FromEnv(func(string) string { return "" }, 7); err != nil || s.Ready("x") != nil {
+		t.Error(err)
+	}
+}
+
+func TestPIDFile(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "pid")
+	me := os.Getpid()
+	if err := WritePID(name, me); err != nil {
+		t.Fatal(err)
+	}
+	if err := WritePID(name, me+1); err == nil {
+		t.Error("the file of a living process is taken")
+	}
+	RemovePID(name, me+1)
+	if _, err := os.Stat(name); err != nil {
+		t.Error("another's file is removed")
+	}
+	os.WriteFile(name, []byte("2147483646\n"), 0o644) // nobody
+	if err := WritePID(name, me); err != nil {
+		t.Error(err)
+	}
+	if RemovePID(name, me); !os.IsNotExist(func() error { _, err := os.Stat(name); return err }()) {
+		t.Error("it is still there")
+	}
+}
+
+func TestLoop(t *testing.T) {
+	l := &Loop{Most: 3, Within: time.Minute}
+	at := time.Unix(1000, 0)
+	for i, want := range []bool{false, false, false, true, true} {
+		if got := l.Begin(at); got != want {
+			t.Errorf("start %d: careful %v", i, got)
+		}
+		at = at.Add(time.Second)
+	}
+	if at = at.Add(time.Hour); l.Begin(at) {
+		t.Error("what is long ago counts")
+	}
+	for range 5 { // ends as it was told to
+		l.End(at)
+		if at = at.Add(time.Second); l.Begin(at) {
+			t.Error("a clean end counts")
+		}
+	}
+	name := filepath.Join(t.TempDir(), "s")
+	if err := l.Save(name); err != nil {
+		t.Fatal(err)
+	}
+	k := &Loop{}
+	if k.Load(name); len(k.Starts) != len(l.Starts) || !k.Starts[0].At.Equal(l.Starts[0].At) {
+		t.Error(k, l)
+	}
+	os.WriteFile(name, []byte("{"), 0o600)
+	if k.Load(name); k.Starts != nil {
+		t.Error(k)
+	}
+}
+
+// Packets keep their bounds, and a socket that goes over is the same one.
+func TestLink(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "h")
+	ln, err := ListenLinks(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	a, err := DialLink(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	uc, err := ln.AcceptUnix()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := NewLink(uc)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Send(Sockets, nil, tcp.(syscall.Conn)); err != nil {
+		t.Fatal(err)
+	}
+	tcp.Close()
+	_, _, files, err := b.Receive(10 * time.Second)
+	if err != nil || len(files) != 1 {
+		t.Fatal(err, files)
+	}
+	again, err := net.FileListener(files[0])
+	files[0].Close()
+	if err != nil || again.Addr().String() != tcp.Addr().String() {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if c, err := net.Dial("tcp", tcp.Addr().String()); err != nil {
+		t.Error(err)
+	} else {
+		c.Close()
+	}
+	text := bytes.Repeat([]byte("0123456789"), 30_000)
+	go func() {
+		if err := a.SendAll(text); err != nil {
+			t.Error(err)
+		}
+		a.Send(Whole, nil)
+	}()
+	var got []byte
+	for {
+		k, p, _, err := b.Receive(10 * time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if k == Whole {
+			break
+		}
+		got = append(got, p...)
+	}
+	if !bytes.Equal(got, text) {
+		t.Errorf("%d bytes of %d", len(got), len(text))
+	}
+	if err := a.Send(Part, make([]byte, PartSize+1)); err == nil {
+		t.Error("too large a packet is sent")
+	}
+	if _, _, _, err := b.Receive(time.Millisecond); err != ErrLate {
+		t.Error(err)
+	}
+	if a.Close(); true {
+		if _, _, _, err := b.Receive(10 * time.Second); err == nil || err == ErrLate {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/stage.go
@@ -0,0 +1,136 @@
+package daemon
+
+import "fmt"
+
+// Kind is a packet's kind, in a handover. O is the old process, N the new one.
+type Kind byte
+
+// The packets, in the order in which they come.
+const (
+	Hello   Kind = 'H' // N: who it is
+	Sockets Kind = 'L' // O: the listeners, as file descriptors
+	Wish    Kind = 'R' // N: it could serve, and wants to
+	Part    Kind = 'S' // O: a part of its state
+	Whole   Kind = 'E' // O: that was all; its folder is unlocked
+	Taken   Kind = 'T' // N: it has taken state and folder
+	Go      Kind = 'G' // O: it takes nothing more. From here on N serves
+	Conn    Kind = 'C' // O: a connection, with what was read of it
+	Answer  Kind = 'A' // O: how a call in hand ended
+	Done    Kind = 'D' // O: nothing is in hand any more
+	Abort   Kind = 'X' // either: it is off, and O goes on
+)
+
+// Move is what a side does next.
+type Move int
+
+// What a side may have to do.
+const (
+	Wait       Move = iota // for the other's next packet
+	Offer                  // O: send the listeners
+	Halt                   // O: take nothing for the moment, send all state, unlock
+	Yield                  // O: send Go, give connections, finish what is in hand
+	GoOn                   // O: as if nothing had been
+	Prepare                // N: check that it could serve, then Wish
+	Take                   // N: take state and folder, then Taken
+	Serve                  // N: serve
+	ServeAlone             // N: serve; the old process is gone, with all that was in its hand
+	GiveUp                 // N: end
+	Note                   // take in what the packet says
+)
+
+func (m Move) String() string {
+	return [...]string{"wait", "offer", "halt", "yield", "go on", "prepare", "take", "serve", "serve alone", "give up", "note"}[m]
+}
+
+// Old is the old process's side of a handover: a state machine with no I/O.
+type Old struct{ stage Kind }
+
+// Packet says what a packet of the new process leads to.
+func (o *Old) Packet(k Kind) (Move, error) {
+	switch {
+	case k == Abort:
+		return o.off(), nil
+	case o.stage == 0 && k == Hello:
+		o.stage = Sockets
+		return Offer, nil
+	case o.stage == Sockets && k == Wish:
+		o.stage = Whole
+		return Halt, nil
+	case o.stage == Whole && k == Taken:
+		o.stage = Go
+		return Yield, nil
+	}
+	return o.off(), fmt.Errorf("daemon: packet %c at stage %c", k, o.stage)
+}
+
+// Lost says that the other end is gone or too slow. Before Go nothing has come of it; afterwards the new process has the
+// sockets, and this one finishes what is in hand.
+func (o *Old) Lost() Move { return o.off() }
+
+func (o *Old) off() Move {
+	if o.stage == Go {
+		return Wait
+	}
+	o.stage = Abort
+	return GoOn
+}
+
+// New is the new process's side.
+type New struct{ stage Kind }
+
+// Packet says what a packet of the old process leads to.
+func (n *New) Packet(k Kind) (Move, error) {
+	switch {
+	case k == Abort:
+		return n.off(), nil
+	case n.stage == 0 && k == Sockets:
+		n.stage = Sockets
+		return Prepare, nil
+	case (n.stage == Sockets || n.stage == Part) && k == Part:
+		n.stage = Part
+		return Note, nil
+	case n.stage == Part && k == Whole:
+		n.stage = Whole
+		return Take, nil
+	case n.stage == Whole && k == Go:
+		n.stage = Go
+		return Serve, nil
+	case n.stage == Go && (k == Conn || k == Answer):
+		return Note, nil
+	case n.stage == Go && k == Done:
+		n.stage = Done
+		return Note, nil
+	}
+	return n.off(), fmt.Errorf("daemon: packet %c at stage %c", k, n.stage)
+}
+
+// Lost says that the old process is gone. If all its state has come, the new one serves: nobody else would. If some of it is
+// missing, it does not know which messages were taken, and ends; a supervisor starts it as after any crash.
+func (n *New) Lost() Move {
+	switch n.stage {
+	case Whole:
+		n.stage = Go
+		return ServeAlone
+	case Go:
+		return ServeAlone // it serves already: what was in the other's hand is lost
+	case Done:
+		return Wait
+	}
+	return n.off()
+}
+
+// Late says that the old process is silent, but there: before Go it may still go on, and this one must not serve.
+func (n *New) Late() Move {
+	if n.stage == Go || n.stage == Done {
+		return Wait
+	}
+	return n.off()
+}
+
+func (n *New) off() Move {
+	if n.stage == Go || n.stage == Done {
+		return Wait
+	}
+	n.stage = Abort
+	return GiveUp
+}
--- a/front/jsonrpc/call.go
+++ b/front/jsonrpc/call.go
@@ -28,6 +28,7 @@
 // call begins a call; the error is told at once, anything else when the gateway has answered.
 func (c *conn) call(r request, t *batch) *Error {
 	s := c.s
+	s.wait()
 	var p callParams
 	if e := params(r.Params, &p); e != nil {
 		return e
--- a/front/jsonrpc/server.go
+++ b/front/jsonrpc/server.go
@@ -80,6 +80,7 @@
 	keys    keys
 	ln      net.Listener
 	closing atomic.Bool
+	paused  chan struct{}
 	wg      sync.WaitGroup
 }
 
@@ -210,6 +211,36 @@
 	return User{}, fmt.Errorf("user %d (process %d) is not among rpc.users", cred.Uid, cred.Pid)
 }
 
+// Pause has all calls that come from now on wait for Resume.
+func (s *Server) Pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = make(chan struct{})
+}
+
+// Resume ends a pause.
+func (s *Server) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.paused != nil {
+		close(s.paused)
+		s.paused = nil
+	}
+}
+
+// wait waits while there is a pause.
+func (s *Server) wait() {
+	for {
+		s.mu.Lock()
+		p := s.paused
+		s.mu.Unlock()
+		if p == nil {
+			return
+		}
+		<-p
+	}
+}
+
 // BeginStop has every further call refused; operators are still served.
 func (s *Server) BeginStop() { s.closing.Store(true) }
 
--- a/front/webhook/front.go
+++ b/front/webhook/front.go
@@ -67,6 +67,7 @@
 	Replay    replay.Settings
 	Mark      MarkFile
 	Log       zerolog.Logger
+	State     *State       // of the process before; nil: none
 	MaxJoin   int          // tries that wait for the same call; 0: 16
 	Models    front.Models // nil: no function has versions
 }
@@ -90,6 +91,57 @@
 	stopped sync.WaitGroup
 	closing atomic.Bool
 	binder  front.Binder
+	paused  chan struct{} // closed when a pause is over; nil: none; guarded by mu
+	passed  bool          // another process takes what comes
+	ended   func(replay.Key, replay.Answer)
+}
+
+// State is what a process that takes over must know of messages.
+type State struct {
+	Known                     []replay.Remembered
+	Barrier, Durable, Highest int64
+}
+
+// Pause has all further messages wait, and returns what is known of those before. Resume or Pass ends it.
+func (f *Front) Pause() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paused = make(chan struct{})
+	var s State
+	s.Known, s.Barrier, s.Durable, s.Highest = f.guard.Export()
+	return s
+}
+
+// Resume goes on as before a pause.
+func (f *Front) Resume() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.paused)
+	f.paused = nil
+}
+
+// Pass has all further messages passed on with their connections; ended is told how those in hand end.
+func (f *Front) Pass(ended func(replay.Key, replay.Answer)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.passed, f.ended = true, ended
+	close(f.paused)
+	f.paused = nil
+}
+
+// Ended says how a message ended that was in hand of the process before.
+func (f *Front) Ended(k replay.Key, a replay.Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.guard.Ended(k, a)
+}
+
+// Abandoned says that the process before has ended with these in hand: what became of them is not known.
+func (f *Front) Abandoned(l []replay.Key) {
+	resp := problem(502, "failed", "the process that had it has ended, and it may have run", nil)
+	for _, k := range l {
+		f.Ended(k, replay.Answer{Status: resp.Status, Type: problemType, Body: resp.Body})
+	}
 }
 
 // A live call has the tries of its client that wait for its answer.
@@ -116,6 +168,9 @@
 		cfg.MaxJoin = 16
 	}
 	f := &Front{cfg: cfg, guard: replay.NewGuard(cfg.Replay, cfg.Clock.Wall(), mark), live: map[replay.Key]*live{}, stop: make(chan struct{})}
+	if s := cfg.State; s != nil {
+		f.guard.Import(s.Known, s.Barrier, s.Durable, s.Highest)
+	}
 	f.binder = front.Binder{Models: cfg.Models, Effect: cfg.Effect, Clock: cfg.Clock, Anew: &f.Counts.Anew}
 	f.clients.Store(&clients)
 	if err := f.extend(); err != nil {
@@ -134,6 +189,9 @@
 func (f *Front) extend() error {
 	f.mu.Lock()
 	mark, short := f.guard.Wanted(f.cfg.Clock.Wall())
+	if f.passed || f.paused != nil { // the file is another's
+		short = false
+	}
 	f.mu.Unlock()
 	if !short {
 		return nil
@@ -172,8 +230,11 @@
 	close(f.stop)
 	f.stopped.Wait()
 	f.mu.Lock()
-	mark := f.guard.Last()
+	mark, passed := f.guard.Last(), f.passed
 	f.mu.Unlock()
+	if passed {
+		return nil
+	}
 	return f.cfg.Mark.Save(mark)
 }
 
@@ -281,6 +342,16 @@
 	digest.Sum(m.Digest[:0])
 
 	f.mu.Lock()
+	for f.paused != nil {
+		over := f.paused
+		f.mu.Unlock()
+		<-over
+		f.mu.Lock()
+	}
+	if f.passed {
+		f.mu.Unlock()
+		return &http1.Response{Pass: true}
+	}
 	verdict, kept, after := f.guard.Take(f.cfg.Clock.Wall(), m)
 	var l *live
 	switch verdict {
@@ -292,7 +363,7 @@
 			l.waiting++
 			l.conns = append(l.conns, c)
 		} else {
-			verdict = replay.Crowded
+			verdict, after = replay.Crowded, time.Second // or in hand of the process before
 		}
 	}
 	f.mu.Unlock()
@@ -422,7 +493,11 @@
 		delete(f.live, key)
 	}
 	resp := answered(a)
-	f.guard.Ended(key, replay.Answer{Refused: a.Kind == gateway.Refused, Status: resp.Status, Type: resp.Header.Get("Content-Type"), Body: resp.Body, Tag: tag})
+	end := replay.Answer{Refused: a.Kind == gateway.Refused, Status: resp.Status, Type: resp.Header.Get("Content-Type"), Body: resp.Body, Tag: tag}
+	f.guard.Ended(key, end)
+	if f.ended != nil {
+		f.ended(key, end)
+	}
 	for _, c := range l.conns {
 		c.Wake()
 	}
@@ -543,7 +618,7 @@
 
 // signed adds the signature of an answer. It does not change a kept answer's body, only its time.
 func (f *Front) signed(v verified, resp *http1.Response) *http1.Response {
-	if resp == nil || v.sign == nil {
+	if resp == nil || v.sign == nil || resp.Pass {
 		return resp
 	}
 	m := signing.Message{ID: signing.AnswerID(outcomeOf(resp), v.id), Stamp: strconv.FormatInt(f.cfg.Clock.Wall().Unix(), 10), Body: resp.Body}
--- a/gateway/closing.go
+++ b/gateway/closing.go
@@ -64,3 +64,15 @@
 func (g *Gateway) Regard(worker string, rank int, until time.Duration) {
 	g.put(choice.Regarded{Worker: WorkerID(worker), Rank: rank, Until: until})
 }
+
+// Spent returns what a process that takes over begins with.
+func (g *Gateway) Spent() (e choice.Inherited, err error) {
+	err = g.ask(func() { e = g.d.Spent() })
+	return e, err
+}
+
+// Inherit begins with what another process has used up. It is called before Run.
+func (g *Gateway) Inherit(e choice.Inherited) { g.put(e) }
+
+// Retire has the gateway finish what is in hand, without the budgets that another process now has; with false, no longer.
+func (g *Gateway) Retire(on bool) { g.put(choice.Retired{On: on}) }
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -163,3 +163,6 @@
 	})
 	return workers, functions, err
 }
+
+// Alive returns once the loop has taken a turn, or an error if it has ended.
+func (g *Gateway) Alive() error { return g.ask(func() {}) }
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -127,6 +127,8 @@
 	// Gate, where set, is asked by a server just before the first byte goes out: what to write instead (nil: this),
 	// how long the writing may take (0: Limits.Write) and what to call when it has ended.
 	Gate func() (instead *Response, within time.Duration, done func())
+	// Pass gives the connection away with its request unanswered: see Server.Detach.
+	Pass bool
 }
 
 var reasons = map[int]string{100: "Continue", 200: "OK", 202: "Accepted", 204: "No Content", 206: "Partial Content",
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -36,6 +37,7 @@
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
 	done  bool
+	give  func(nc net.Conn, read []byte) // see Detach
 	wg    sync.WaitGroup
 }
 
@@ -47,6 +49,10 @@
 	l    Limits
 	out  []byte
 	busy atomic.Bool // a request is in hand
+
+	read   []byte // by the process before
+	before *prefixed
+	given  bool
 }
 
 const (
@@ -75,24 +81,81 @@
 			return err
 		}
 		wait = acceptLeast
-		c := &Conn{Conn: nc, s: s, l: limits}
-		s.mu.Lock()
-		if s.done || len(s.conns) >= most {
-			s.mu.Unlock()
-			s.Refused.Add(1)
-			nc.SetWriteDeadline(time.Now().Add(acceptLeast))
-			nc.Write(AppendResponse(nil, &Response{Status: 503, Header: Header{{"Retry-After", "1"}}, Close: true}, false))
-			nc.Close()
-			continue
-		}
-		if s.conns == nil {
-			s.conns = map[*Conn]struct{}{}
-		}
-		s.conns[c] = struct{}{}
-		s.wg.Add(1)
+		s.take(nc, nil, limits, most)
+	}
+}
+
+// Adopt serves a connection that another process took; read is what it has read of it and not used.
+func (s *Server) Adopt(nc net.Conn, read []byte) {
+	s.take(nc, read, s.Limits.Filled(), pick(s.MaxOpen, 10000))
+}
+
+func (s *Server) take(nc net.Conn, read []byte, limits Limits, most int) {
+	c := &Conn{Conn: nc, s: s, l: limits, read: read}
+	s.mu.Lock()
+	if give := s.give; give != nil {
 		s.mu.Unlock()
-		go c.serve()
+		give(nc, read)
+		return
+	}
+	if s.done || len(s.conns) >= most {
+		s.mu.Unlock()
+		s.Refused.Add(1)
+		nc.SetWriteDeadline(time.Now().Add(acceptLeast))
+		nc.Write(AppendResponse(nil, &Response{Status: 503, Header: Header{{"Retry-After", "1"}}, Close: true}, false))
+		nc.Close()
+		return
+	}
+	if s.conns == nil {
+		s.conns = map[*Conn]struct{}{}
+	}
+	s.conns[c] = struct{}{}
+	s.wg.Add(1)
+	s.mu.Unlock()
+	go c.serve()
+}
+
+// Detach gives connections away instead of reading further requests from them: idle ones at once, others once their request
+// is answered, and those whose handler passes its request on (Response.Pass). give gets what was read and not used; it closes
+// the connection on this side or not, as it likes.
+func (s *Server) Detach(give func(nc net.Conn, read []byte)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.give = give
+	for c := range s.conns {
+		if !c.busy.Load() {
+			c.Conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// begin tells whether a request may be read: after Detach none may.
+func (c *Conn) begin() bool {
+	c.s.mu.Lock()
+	defer c.s.mu.Unlock()
+	if c.s.give != nil {
+		return false
+	}
+	c.busy.Store(true)
+	return true
+}
+
+func (c *Conn) leave(first []byte) bool {
+	c.s.mu.Lock()
+	give := c.s.give
+	c.s.mu.Unlock()
+	if give == nil {
+		return false
 	}
+	rest, _ := c.br.Peek(c.br.Buffered())
+	if c.before != nil {
+		rest = append(rest[:len(rest):len(rest)], c.before.first...)
+	}
+	c.given = true
+	c.SetReadDeadline(time.Time{})
+	c.SetWriteDeadline(time.Time{})
+	give(c.Conn, append(first, rest...))
+	return true
 }
 
 // Drain stops idle connections, lets those with a request in hand finish it, and returns when none is left or
@@ -126,10 +189,26 @@
 	}
 }
 
+// stopping tells whether connections end with their request: after Drain, unless they are given away.
 func (s *Server) stopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.done
+	return s.done && s.give == nil
+}
+
+// prefixed reads what another process had read, and then on.
+type prefixed struct {
+	first []byte
+	r     io.Reader
+}
+
+func (p *prefixed) Read(b []byte) (int, error) {
+	if len(p.first) > 0 {
+		n := copy(b, p.first)
+		p.first = p.first[n:]
+		return n, nil
+	}
+	return p.r.Read(b)
 }
 
 // Reset closes the connection so that the other end sees a reset.
@@ -142,22 +221,34 @@
 
 func (c *Conn) serve() {
 	defer func() {
-		c.Conn.Close()
+		if !c.given {
+			c.Conn.Close()
+		}
 		c.s.mu.Lock()
 		delete(c.s.conns, c)
 		c.s.mu.Unlock()
 		c.s.wg.Done()
 	}()
 	c.br = bufio.NewReaderSize(c.Conn, ReadBuffer)
+	if len(c.read) > 0 {
+		c.before = &prefixed{c.read, c.Conn}
+		c.br = bufio.NewReaderSize(c.before, max(ReadBuffer, len(c.read)))
+	}
 	for wait := c.l.FirstByte; ; wait = c.l.Idle {
 		c.SetReadDeadline(time.Now().Add(wait))
-		if c.s.stopping() { // after the deadline is set, or Drain's could be overwritten
+		if c.leave(nil) || c.s.stopping() { // after the deadline is set, or Drain's could be overwritten
 			return
 		}
 		if _, err := c.br.Peek(1); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.leave(nil)
+			}
+			return
+		}
+		if !c.begin() {
+			c.leave(nil)
 			return
 		}
-		c.busy.Store(true)
 		if !c.exchange() {
 			return
 		}
@@ -193,6 +284,19 @@
 	if resp == nil {
 		return false
 	}
+	if resp.Pass {
+		h := req.Header[:0:0]
+		for _, f := range req.Header { // it is written with its length, whatever its form was
+			switch strings.ToLower(f.Name) {
+			case "content-length", "transfer-encoding", "expect", "connection":
+			default:
+				h = append(h, f)
+			}
+		}
+		req.Header = h
+		c.leave(AppendRequest(nil, req))
+		return false
+	}
 	within, written := c.l.Write, (func())(nil)
 	if resp.Gate != nil {
 		instead, most, done := resp.Gate()
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -15,7 +15,11 @@
 // each endpoint has a secret of its own (package webhook derives one for each from a common one).
 package replay
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Settings bound what a Guard takes and keeps.
 type Settings struct {
@@ -219,3 +223,44 @@
 
 // Len returns how many ids are remembered.
 func (g *Guard) Len() int { return len(g.known) }
+
+// Remembered is one id, for a process that takes over.
+type Remembered struct {
+	Key     Key
+	Last    int64
+	Digest  []byte
+	Running bool
+	Dropped bool
+	Refused bool
+	Status  int
+	Type    string
+	Body    []byte
+}
+
+// Export returns all that is remembered, by the time it was last taken, and the marks.
+func (g *Guard) Export() (l []Remembered, barrier, durable, highest int64) {
+	for k, e := range g.known {
+		r := Remembered{Key: k, Last: e.last, Digest: e.digest[:], Running: e.running, Dropped: e.dropped || e.answer.Tag != nil,
+			Refused: e.answer.Refused, Status: e.answer.Status, Type: e.answer.Type, Body: e.answer.Body}
+		if r.Dropped { // of a version: it cannot be asked for at the other's door
+			r.Body = nil
+		}
+		l = append(l, r)
+	}
+	slices.SortFunc(l, func(a, b Remembered) int {
+		return cmp.Or(cmp.Compare(a.Last, b.Last), cmp.Compare(a.Key.Client, b.Key.Client), cmp.Compare(a.Key.ID, b.Key.ID))
+	})
+	return l, g.barrier, g.durable, g.highest
+}
+
+// Import takes what Export gave. A call that runs elsewhere is joined by nobody; Ended says how it ended.
+func (g *Guard) Import(l []Remembered, barrier, durable, highest int64) {
+	g.barrier, g.durable, g.highest = barrier, max(g.durable, durable), max(g.highest, highest)
+	for _, r := range l {
+		e := &entry{last: r.Last, running: r.Running, dropped: r.Dropped, answer: Answer{Refused: r.Refused, Status: r.Status, Type: r.Type, Body: r.Body}}
+		copy(e.digest[:], r.Digest)
+		g.known[r.Key] = e
+		g.byLast[r.Last] = append(g.byLast[r.Last], r.Key)
+		g.bytes += len(r.Body)
+	}
+}
