--- a/controller/operate.go
+++ b/controller/operate.go
@@ -59,11 +59,8 @@
 }
 
 func (f facts) Function(name string) (float64, bool) {
-	fn := f.c.functions.Find(name)
-	if fn == nil {
-		return 0, false
-	}
-	return fn.MemoryMB, true
+	s, ok := f.c.functions.Spec(name)
+	return s.MemoryMB, ok
 }
 
 func (f facts) Tenant(name string) bool { return f.tenants[name] }
@@ -72,8 +69,8 @@
 type sink struct{ c *Controller }
 
 func (s sink) Warm(function string, copies int, until time.Duration) {
-	if fn := s.c.functions.Find(function); fn != nil && fn.Versions {
-		if v, _, ok := s.c.models.current(fn); ok {
+	if spec, ok := s.c.functions.Spec(function); ok && spec.Versions { // a model has no star: Find takes no place
+		if v, _, ok := s.c.models.current(s.c.functions.Find(function)); ok {
 			s.c.Gateway.Warm(v.Name, copies, until)
 		}
 		return
@@ -292,6 +289,18 @@
 	}
 }
 
+// Hooks returns the engine that runs scripts, or nil.
+func (c *Controller) Hooks() *hooks.Engine { return c.hooks }
+
+// LoadHook takes a script.
+func (c *Controller) LoadHook(name, text string) error {
+	if c.hooks == nil {
+		return errors.New("no hooks are configured")
+	}
+	_, _, err := c.hooks.Load(name, text, "rig", false)
+	return err
+}
+
 // SetScripts takes the hooks' files as they are now.
 func (c *Controller) SetScripts(b *config.Built) error {
 	if c.hooks == nil {
--- a/day/load.go
+++ b/day/load.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -15,6 +16,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"kitehub/front/jsonrpc"
 	"kitehub/internal/clock"
 	"kitehub/internal/http1"
 	"kitehub/internal/trace"
@@ -30,6 +32,10 @@
 	up   bool
 	idle []*wire
 	keys []*signing.Key // by tenant
+
+	hooked bool
+	socket string // of the second front; "": none
+	spare  []*jsonrpc.Client
 }
 
 type wire struct {
@@ -64,11 +70,15 @@
 	from    time.Duration // calls before it are not counted
 	wg      sync.WaitGroup
 	slots   chan struct{}
+	took    [2]*hdrhistogram.Histogram // of served calls, by whether the controller has scripts
 }
 
 func newLoad(s *Day, clk clock.Clock, log *trace.Log, targets []*target) *load {
 	l := &load{s: s, clk: clk, log: log, targets: targets, rng: rand.New(rand.NewPCG(s.Seed, 7)), tally: map[string]*Tally{},
 		rate: 1, tenant: map[string]float64{}, slots: make(chan struct{}, s.Connections)}
+	for i := range l.took {
+		l.took[i] = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	}
 	for _, c := range s.Classes {
 		l.tally[c.Name] = &Tally{Took: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
 	}
@@ -179,7 +189,12 @@
 	at := p.target
 	outcome := "nowhere"
 	tries := 0
-	for {
+	hooked := l.targets[at].hooked
+	bySecond := l.s.SecondFront && p.seed%2 == 0
+	if bySecond {
+		outcome, tries = l.second(p, end, rng), 1
+	}
+	for !bySecond {
 		now := l.clk.Now()
 		if end-now < leastTime {
 			break
@@ -228,6 +243,7 @@
 	case "served":
 		y.Served++
 		y.Took.RecordValue(int64(took / time.Microsecond))
+		l.took[map[bool]int{true: 1}[hooked]].RecordValue(int64(took / time.Microsecond))
 		if took <= ms(p.class.AimMs) {
 			y.InAim++
 		}
@@ -374,6 +390,59 @@
 	return outcome, after
 }
 
+// second makes one try by the second front: its user is of the first tenant, and its calls are not signed.
+func (l *load) second(p plan, end time.Duration, rng *rand.Rand) string {
+	t := l.targets[p.target]
+	t.mu.Lock()
+	var c *jsonrpc.Client
+	if n := len(t.spare); n > 0 {
+		c, t.spare = t.spare[n-1], t.spare[:n-1]
+	}
+	t.mu.Unlock()
+	if c == nil {
+		var err error
+		if c, err = jsonrpc.Dial(t.socket, 250*time.Millisecond); err != nil {
+			return "nowhere"
+		}
+	}
+	var id [16]byte
+	for i := range id {
+		id[i] = byte(rng.Uint32())
+	}
+	now := l.clk.Now()
+	rec := trace.Record{Controller: t.name, Request: hex.EncodeToString(id[:]), Class: p.class.Name, Function: p.function, Key: fmt.Sprintf("call-%06d", p.n)}
+	asked := rec
+	asked.Kind, asked.At, asked.Until = trace.Asked, now, now+(end-now).Truncate(time.Millisecond)
+	if end-now < leastTime {
+		return "nowhere"
+	}
+	l.log.Add(asked)
+	params := map[string]any{"function": p.function, "body": map[string]any{"n": p.n, "work_ms": p.work}, "wait_ms": (end - now).Milliseconds(), "trace": rec.Request}
+	if p.class.Effect == "keyed" {
+		params["key"] = rec.Key
+	}
+	err := c.Do("call", params, nil, end-now+time.Second)
+	outcome := "served"
+	var e *jsonrpc.Error
+	switch {
+	case errors.As(err, &e):
+		m, _ := e.Data.(map[string]any)
+		outcome, _ = m["outcome"].(string)
+	case err != nil:
+		outcome = rules.Unreached
+	}
+	rec.Kind, rec.At, rec.Outcome = trace.Answered, 0, outcome
+	l.log.Add(rec)
+	if outcome == rules.Unreached {
+		c.Close()
+	} else {
+		t.mu.Lock()
+		t.spare = append(t.spare, c)
+		t.mu.Unlock()
+	}
+	return outcome
+}
+
 // Tallies returns the counts by class, in the script's order of classes.
 func (l *load) tallies() (names []string, out []*Tally) {
 	for _, c := range l.s.Classes {
--- a/day/play.go
+++ b/day/play.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
 
 	"kitehub/choice"
@@ -106,10 +107,24 @@
 	Trace                      []trace.Record
 	// Attempts that reached workers, loads ordered, fetches that the store served and turned away.
 	Attempts, Orders, Fetches, Refusals int
+	// Idle is the memory that idle copies took, in MB seconds. Took are the times of served calls in microseconds, of controllers
+	// without scripts and of those with.
+	Idle      float64
+	Took      [2]*hdrhistogram.Histogram
+	Handovers int
+	Hooks     []HookResult
 	// LateStep is the longest that a step of a controller that ran at the end came after its time.
 	LateStep time.Duration
 }
 
+// A HookResult is what became of the scripts of one controller.
+type HookResult struct {
+	Controller                              string
+	Inline, Aside, Faults, Refused, Dropped int64
+	InlineMean, AsideMean                   time.Duration
+	Statuses                                []string
+}
+
 const cluster = "workers"
 
 type player struct {
@@ -135,6 +150,8 @@
 	started     map[string]time.Time
 	hidden      bool // the list shows no workers
 	spares      []string
+	retired     []*controller.Controller // that were taken over from
+	socks       string
 	specs       map[string]fleet.Spec
 	err         error
 }
@@ -152,6 +169,12 @@
 		defer os.RemoveAll(dir)
 		p.dir = dir
 	}
+	socks, err := os.MkdirTemp("", "kh")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(socks)
+	p.socks = socks
 	defer p.close()
 	if err := p.setUp(); err != nil {
 		return nil, err
@@ -239,6 +262,12 @@
 		}
 		targets = append(targets, t)
 	}
+	for i, t := range targets {
+		t.hooked = p.hooked(i) > 0
+		if s.SecondFront {
+			t.socket = p.socket(i, "s")
+		}
+	}
 	p.load = newLoad(s, p.clk, p.log, targets)
 	// All start in the same moment, as after a power cut.
 	errs := make(chan error, len(p.controllers))
@@ -302,7 +331,10 @@
 	p.publish()
 }
 
-func (p *player) startController(i int) error {
+func (p *player) startController(i int) error { return p.runController(i, false) }
+
+// runController starts a controller, or has one take over from the one that runs.
+func (p *player) runController(i int, over bool) error {
 	text := p.configText(i)
 	var c config.Config
 	f, err := config.Parse(controllerName(i), []byte(text), &c)
@@ -316,11 +348,31 @@
 	if p.o.Spoil != nil {
 		p.o.Spoil(b)
 	}
-	ctl, err := controller.Start(b, controller.Options{Clock: p.clk, Log: p.o.Log.With().Str("controller", b.Name).Logger(),
-		Dial: p.net.dialer(c.Zone), Sink: p.o.Sink, Handler: p.o.Handler, Models: p.o.Models, Versions: p.o.Versions})
+	o := controller.Options{Clock: p.clk, Log: p.o.Log.With().Str("controller", b.Name).Logger(),
+		Dial: p.net.dialer(c.Zone), Sink: p.o.Sink, Handler: p.o.Handler, Models: p.o.Models, Versions: p.o.Versions}
+	if over { // the one before finishes what it has; what it counted goes on
+		old := p.controllers[i]
+		ctl, err := controller.TakeOver(p.socket(i, "h"), func(after *controller.Succession) (*controller.Controller, error) {
+			o.After = after
+			return controller.Start(b, o)
+		})
+		if err != nil {
+			return err
+		}
+		p.mu.Lock()
+		p.controllers[i] = ctl
+		p.retired = append(p.retired, old)
+		p.mu.Unlock()
+		<-old.Over()
+		return nil
+	}
+	ctl, err := controller.Start(b, o)
 	if err != nil {
 		return err
 	}
+	if err := p.loadHooks(i, ctl); err != nil {
+		return err
+	}
 	p.mu.Lock()
 	p.controllers[i] = ctl
 	p.mu.Unlock()
@@ -375,9 +427,57 @@
 		s.Workers.IdleLifeMs, r.LoadWindowMs, r.LoadFree, r.LoadRatio)
 	w("guarantees { answer_grace_ms: 8 drain_grace_ms: %v cold_share: %v cold_ms: %v fall_factor: %v fall_within_ms: %v }", r.DrainGraceMs, r.ColdShare, r.ColdMs, r.FallFactor, r.FallWithinMs)
 	w("report { fields: [IN_FLIGHT, QUEUE] }")
+	if p.hooked(i) > 0 {
+		w("hooks {}")
+	}
+	w("daemon { handover: %q }", p.socket(i, "h"))
+	if s.SecondFront {
+		w("rpc { socket: %q users { self: true name: \"second\" tenant: %q call: true operate: true } }", p.socket(i, "s"), s.Tenants[0].Name)
+	}
 	return b.String()
 }
 
+// socket is where a controller's Unix sockets are: their names must be short.
+func (p *player) socket(i int, what string) string {
+	return filepath.Join(p.socks, controllerName(i)+what)
+}
+
+// hooked returns how many scripts a controller runs.
+func (p *player) hooked(i int) (n int) {
+	for _, h := range p.s.Hooks {
+		if h.Part == 0 || float64(i) < h.Part*float64(p.s.Controllers) {
+			n++
+		}
+	}
+	return n
+}
+
+// loadHooks gives a controller its scripts.
+func (p *player) loadHooks(i int, c *controller.Controller) error {
+	for _, h := range p.s.Hooks {
+		if h.Part == 0 || float64(i) < h.Part*float64(p.s.Controllers) {
+			if err := c.LoadHook(h.Name, h.Text); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// idle adds up what idle copies take of the workers' memory, in MB seconds.
+func (p *player) idle(sum *float64) {
+	defer p.wg.Done()
+	for last := p.clk.Now(); p.wait(50 * time.Millisecond); {
+		now := p.clk.Now()
+		p.host.Do(func(f *fleet.Fleet) {
+			for w := range p.host.Names() {
+				*sum += f.Idle(w) * (now - last).Seconds()
+			}
+		})
+		last = now
+	}
+}
+
 func (p *player) play() (*Result, error) {
 	p.begin = p.clk.Now() + seconds(p.s.LeadS)
 	p.load.from = p.begin
@@ -388,8 +488,10 @@
 			p.trouble(t)
 		}()
 	}
-	p.wg.Add(1)
+	p.wg.Add(2)
 	go p.watchMachine()
+	var idle float64
+	go p.idle(&idle)
 	if p.versions != nil {
 		p.wg.Add(1)
 		go p.versions.move()
@@ -407,7 +509,7 @@
 	if err != nil {
 		return nil, err
 	}
-	res := &Result{Forged: p.load.forged, Trace: p.log.Records()}
+	res := &Result{Forged: p.load.forged, Trace: p.log.Records(), Idle: idle, Took: p.load.took, Handovers: len(p.retired)}
 	res.Classes, res.Tallies = p.load.tallies()
 	for _, r := range res.Trace {
 		switch r.Kind {
@@ -422,6 +524,17 @@
 	for _, c := range p.controllers {
 		if c != nil {
 			res.LateStep = max(res.LateStep, time.Duration(c.Gateway.Counts.LateNanos.Load()))
+			if e := c.Hooks(); e != nil {
+				n := &e.Counts
+				h := HookResult{Controller: c.Name(), Inline: n.Inline.Load(), Aside: n.Aside.Load(), Faults: n.Faults.Load(), Refused: n.Refusals.Load(), Dropped: n.Dropped.Load(),
+					InlineMean: time.Duration(n.InlineNanos.Load() / max(1, n.Inline.Load())), AsideMean: time.Duration(n.AsideNanos.Load() / max(1, n.Aside.Load()))}
+				if o, err := e.Overview(); err == nil {
+					for _, s := range o.Scripts {
+						h.Statuses = append(h.Statuses, s.Name+" "+s.Status)
+					}
+				}
+				res.Hooks = append(res.Hooks, h)
+			}
 		}
 	}
 	p.mu.Unlock()
@@ -479,7 +592,7 @@
 
 func (p *player) close() {
 	p.mu.Lock()
-	controllers := slices.Clone(p.controllers)
+	controllers := slices.Concat(p.controllers, p.retired)
 	p.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, c := range controllers {
--- a/day/result.go
+++ b/day/result.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 )
 
@@ -47,6 +48,18 @@
 	t := r.Total()
 	fmt.Fprintf(w, "answers: served %d, refused %d, failed %d, late %d of %d calls in %d tries; %d attempts, %d orders, %d fetches, %d turned away by the store\n",
 		t.Served, t.Refused, t.Failed, t.Late, t.Calls, t.Tries, r.Attempts, r.Orders, r.Fetches, r.Refusals)
+	fmt.Fprintf(w, "idle copies: %.0f MB s; controllers taken over: %d\n", r.Idle, r.Handovers)
+	if h := r.Took[1]; h != nil && h.TotalCount() > 0 {
+		for i, who := range []string{"without", "with"} {
+			if k := r.Took[i]; k.TotalCount() > 0 {
+				fmt.Fprintf(w, "controllers %s scripts: %d served, p50 %v p99 %v\n", who, k.TotalCount(), time.Duration(k.ValueAtQuantile(50))*time.Microsecond, time.Duration(k.ValueAtQuantile(99))*time.Microsecond)
+			}
+		}
+		for _, h := range r.Hooks {
+			fmt.Fprintf(w, "scripts of %s: %d inline of %v, %d aside of %v, %d faults, %d calls refused, %d events dropped: %s\n", h.Controller, h.Inline, h.InlineMean,
+				h.Aside, h.AsideMean, h.Faults, h.Refused, h.Dropped, strings.Join(h.Statuses, ", "))
+		}
+	}
 	fmt.Fprintf(w, "longest that a controller's step came late: %v\n", r.LateStep.Round(100*time.Microsecond))
 	fmt.Fprintf(w, "most sent to a cold worker: %.2f of what pushes it over; answers whose signature does not verify: %d\n", r.Verdict.ColdPeak, r.Forged)
 	if v := r.Versions; v != nil {
--- a/day/trouble.go
+++ b/day/trouble.go
@@ -142,6 +142,12 @@
 		p.change(func() { p.hidden = false })
 	case What_CONTROLLERS:
 		p.killControllers(t, length)
+	case What_HANDOVER:
+		for i := range int(math.Ceil(t.Part * float64(len(p.controllers)))) {
+			if err := p.runController(i, true); err != nil {
+				p.fail(err)
+			}
+		}
 	case What_JUMP:
 		set(func() { l.rate = t.Size })
 		p.wait(length)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -553,6 +553,19 @@
 	return n
 }
 
+// Idle returns the memory of a worker's idle copies, in MB.
+func (f *Fleet) Idle(worker int) (mb float64) {
+	w := f.workers[worker]
+	for _, name := range w.names {
+		for _, c := range w.funcs[name].copies {
+			if c.busy == 0 && !c.void {
+				mb += w.funcs[name].fn.MemoryMB
+			}
+		}
+	}
+	return mb
+}
+
 // evictable returns the idle copies of a worker, the longest idle first.
 func (w *worker) evictable() (l []struct {
 	fn *function
--- a/gateway/closing.go
+++ b/gateway/closing.go
@@ -53,11 +53,24 @@
 	return g.cfg.Settings.Tenants[i].Name
 }
 
-// Warm advises the module to keep copies of a function until a time; 0: no longer.
+// Warm advises the module to keep copies of a function until a time; 0: no longer. A name that nothing else has made known is
+// known for as long as it is advised.
 func (g *Gateway) Warm(function string, copies int, until time.Duration) {
-	if id, err := g.AddFunction(function); err == nil {
-		g.put(choice.Wanted{Function: id, Copies: copies, Until: until})
+	id := FunctionID(function)
+	g.mu.Lock()
+	old, known := g.names.functions[id]
+	switch {
+	case known && old != function: // the same hash: the other was there first
+		g.mu.Unlock()
+		return
+	case !known && copies > 0:
+		g.names.functions[id], g.names.advised[id] = function, true
+	case copies == 0 && g.names.advised[id]:
+		delete(g.names.functions, id)
+		delete(g.names.advised, id)
 	}
+	g.mu.Unlock()
+	g.put(choice.Wanted{Function: id, Copies: copies, Until: until})
 }
 
 // Regard advises the module to prefer a worker (rank above 0), to avoid it (below), or neither, until a time.
--- a/gateway/functions.go
+++ b/gateway/functions.go
@@ -109,6 +109,22 @@
 	return &v.Function, nil
 }
 
+// Spec returns what is configured for a name, known or not. Unlike Find it takes no place under a star: advice must not use up
+// those of calls.
+func (f *Functions) Spec(name string) (Spec, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if fn := f.known[name]; fn != nil {
+		return Spec{Name: name, Class: fn.Class, MemoryMB: fn.MemoryMB, Lanes: fn.Lanes, LoadTime: fn.LoadTime, Versions: fn.Versions}, true
+	}
+	for i := range f.stars {
+		if s := &f.stars[i]; len(name) <= 128 && strings.HasPrefix(name, s.Name) {
+			return s.Spec, true
+		}
+	}
+	return Spec{}, false
+}
+
 // Find returns the function of a name, or nil.
 func (f *Functions) Find(name string) *Function {
 	f.mu.RLock()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -376,3 +376,32 @@
 		t.Errorf("%+v, %d open, table %d", got, g.Open(), len(g.table))
 	}
 }
+
+// Advice to keep names warm takes none of the places that a star leaves for names that are called, and leaves no name behind.
+func TestAdviceTakesNoPlace(t *testing.T) {
+	g, err := New(Config{Settings: settings(), Seed: 1, Clock: clock.System(), Carrier: &carrier{}, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := NewFunctions(g, []Spec{{Name: "q-*", MemoryMB: 7, Most: 2}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 1000 {
+		name := fmt.Sprint("q-", i)
+		if s, ok := f.Spec(name); !ok || s.MemoryMB != 7 {
+			t.Fatal(name, s, ok)
+		}
+		g.Warm(name, 1, time.Hour)
+		if i != 3 {
+			g.Warm(name, 0, 0)
+		}
+	}
+	if _, ok := f.Spec("x"); ok || f.Find("q-a") == nil || f.Find("q-3") == nil || f.Find("q-c") != nil {
+		t.Error("the places of the star are not those of two calls")
+	}
+	g.Warm("q-3", 0, 0) // it is called by now, and stays known
+	if n := len(g.names.functions); n != 2 || len(g.names.advised) != 0 {
+		t.Errorf("%d names, %d by advice", n, len(g.names.advised))
+	}
+}
--- a/gateway/names.go
+++ b/gateway/names.go
@@ -51,6 +51,7 @@
 type names struct {
 	functions map[choice.FunctionID]string
 	digests   map[choice.FunctionID]string // of those that the registry names
+	advised   map[choice.FunctionID]bool   // known by advice alone: forgotten with it
 	workers   map[choice.WorkerID]Worker
 	ids       map[string]int // zones, groups and kinds seen, each with its kind of name in front
 	settings  choice.Settings
@@ -59,7 +60,7 @@
 }
 
 func newNames(s choice.Settings) names {
-	n := names{functions: map[choice.FunctionID]string{}, digests: map[choice.FunctionID]string{}, workers: map[choice.WorkerID]Worker{}, ids: map[string]int{}, settings: s}
+	n := names{functions: map[choice.FunctionID]string{}, digests: map[choice.FunctionID]string{}, advised: map[choice.FunctionID]bool{}, workers: map[choice.WorkerID]Worker{}, ids: map[string]int{}, settings: s}
 	for i, z := range s.Zones {
 		n.ids["zone "+z] = i
 	}
@@ -89,6 +90,7 @@
 		return 0, fmt.Errorf("functions %q and %q have the same hash: rename one", old, name)
 	}
 	g.names.functions[id] = name
+	delete(g.names.advised, id)
 	return id, nil
 }
 
