A script takes at most its rate of instructions; more of its events are skipped

Each version now has a rate (1,000,000 instructions a second, two seconds of it behind at most), by a pure decision of Lifecycle; what it cannot afford it does not see, and that is counted.

--- a/hooks/engine.go
+++ b/hooks/engine.go
@@ -408,7 +408,11 @@
 		}
 		return
 	}
+	if !e.life.Affords(now, &s.Tally) {
+		return // nor does its shadow see what it is not to be compared on
+	}
 	res, err := e.aside(r, point, ev)
+	s.Tally.debt += res.Fuel
 	fault := ""
 	if err != nil {
 		fault = err.Error()
@@ -455,6 +459,9 @@
 		e.life.Tried(r.name, r.version, "", 0, len(live) == 0)
 		return
 	}
+	if s := e.life.Find(r.name); s == nil || !e.life.Affords(e.cfg.Clock.Now(), &s.Trial) {
+		return
+	}
 	res, err := e.aside(r, point, ev)
 	if err != nil {
 		e.life.Tried(r.name, r.version, err.Error(), res.Fuel, false)
--- a/hooks/hooks_test.go
+++ b/hooks/hooks_test.go
@@ -139,9 +139,13 @@
 	return strings.Join(h.said, ", ")
 }
 
-func engine(t *testing.T, h *host, clk clock.Clock, dir string) *Engine {
+func engine(t *testing.T, h *host, clk clock.Clock, dir string, rate ...int64) *Engine {
 	t.Helper()
-	cfg := Config{Advice: advice.Settings{Cap: 100}, Facts: h, Sink: h, Clock: clk, Log: zerolog.Nop(), Keep: time.Nanosecond,
+	life := LifeSettings{Rate: 1 << 40}
+	if rate != nil {
+		life.Rate = rate[0]
+	}
+	cfg := Config{Life: life, Advice: advice.Settings{Cap: 100}, Facts: h, Sink: h, Clock: clk, Log: zerolog.Nop(), Keep: time.Nanosecond,
 		Notify: func(n advice.Notice) { h.mu.Lock(); h.notes = append(h.notes, n); h.mu.Unlock() }}
 	if dir != "" {
 		cfg.FS = store.Dir(dir)
@@ -316,3 +320,25 @@
 		t.Error(v)
 	}
 }
+
+// A script that costs much misses events, and takes no more than its rate; a cheap one beside it sees all.
+func TestEngineRate(t *testing.T) {
+	h, clk := &host{}, clock.NewManual(time.Unix(1000, 0))
+	e := engine(t, h, clk, "", 1_000_000)
+	load(t, e, "dear", "on ended(e) {\nfor i in 0..100000 {}\n}\n", false) // some 200,000 instructions
+	load(t, e, "good", counter, false)
+	for range 20 {
+		for range 50 {
+			e.Post("ended", hook.Ended{})
+		}
+		all(t, e)
+		clk.Advance(sec)
+	}
+	o, _ := e.Overview()
+	if d := o.Scripts[0].Tally; d.Skipped+d.Runs != 1000 || d.Fuel > 23_000_000 || d.Fuel < 18_000_000 {
+		t.Errorf("%+v", d)
+	}
+	if g := o.Scripts[1].Tally; g.Runs != 1000 || g.Skipped != 0 {
+		t.Errorf("%+v", g)
+	}
+}
--- a/hooks/lifecycle.go
+++ b/hooks/lifecycle.go
@@ -22,10 +22,12 @@
 	Longest  time.Duration // it is open at most: 5 min
 	Openings int           // of the circuit in a row after which the version is given up: 4
 	Trial    int           // runs of a shadow before it may be promoted without force: 20
+	Rate     int64         // instructions a second that a version may take aside: 1,000,000; some 1% of a core
 }
 
 func (s LifeSettings) filled() LifeSettings {
 	s.Scripts, s.Strikes, s.Openings = cmp.Or(s.Scripts, 32), cmp.Or(s.Strikes, 3), cmp.Or(s.Openings, 4)
+	s.Rate = cmp.Or(s.Rate, 1_000_000)
 	s.Back, s.Longest, s.Trial = cmp.Or(s.Back, time.Second), cmp.Or(s.Longest, 5*time.Minute), cmp.Or(s.Trial, 20)
 	return s
 }
@@ -45,6 +47,10 @@
 	Faults int64 `json:"faults"`
 	Fuel   int64 `json:"fuel"`
 	Differ int64 `json:"differ,omitempty"` // of a shadow: runs that advised something else
+	// Skipped counts events that it did not see, as it had taken more than its rate.
+	Skipped int64         `json:"skipped,omitempty"`
+	debt    int64         // instructions taken that its rate has not made up for
+	at      time.Duration // when debt was last looked at
 }
 
 // A Script with its versions.
@@ -293,6 +299,18 @@
 	l.change(s, true, "version %d is in quarantine: %s", version, fault)
 }
 
+// Affords tells whether a version may run aside now: it has at most two seconds of its rate behind. One that costs more misses
+// events, and is no less heard for it; the machine's other cores are for calls.
+func (l *Lifecycle) Affords(now time.Duration, t *Tally) bool {
+	t.debt = max(0, t.debt-int64(max(0, now-t.at).Seconds()*float64(l.s.Rate)))
+	t.at = now
+	if t.debt > 2*l.s.Rate {
+		t.Skipped++
+		return false
+	}
+	return true
+}
+
 // Tried follows one run of the shadow.
 func (l *Lifecycle) Tried(name string, version uint64, fault string, fuel int64, same bool) {
 	s := l.Find(name)
@@ -301,6 +319,7 @@
 	}
 	s.Trial.Runs++
 	s.Trial.Fuel += fuel
+	s.Trial.debt += fuel
 	if fault != "" {
 		s.Trial.Faults++
 		s.Fault = fault
