--- a/cmd/kitehub/tools.go
+++ b/cmd/kitehub/tools.go
@@ -179,6 +179,11 @@
 			return err
 		default:
 			built = append(built, b)
+			for i, h := range b.Scripts {
+				if _, err := compileFile(h.File); err != nil {
+					all = append(all, config.Problem{File: name, Field: fmt.Sprintf("hooks.scripts[%d].file", i), What: err.Error(), Remedy: "see kitehub hook check"})
+				}
+			}
 			for _, w := range b.Warnings {
 				fmt.Fprintf(os.Stderr, "%s: warning: %s\n", name, w)
 			}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -125,7 +125,7 @@
 	err = g.ask(func() {
 		for _, k := range sortedKeys(g.table) {
 			if r := g.table[k]; r.call != nil && r.call.ID == id {
-				x, ok = explain(k, r, "", g.cfg.Clock.Now()), true
+				x, ok = explain(k, r, Kind(r.claimed.Load()).String(), g.cfg.Clock.Now()), true // answered, perhaps, and not taken in
 			}
 		}
 		for i := range g.told.ring {
--- a/hook/parser.go
+++ b/hook/parser.go
@@ -94,6 +94,15 @@
 	return t
 }
 
+// field reads a field's name, which may be a word of the language.
+func (p *parser) field() token {
+	if t := p.tok(); t.kind == tSign && keywords[t.text] {
+		p.i++
+		return t
+	}
+	return p.name("a field")
+}
+
 // guard runs f. If f gives up, it skips to the next line that begins with one of the words, or with anything if there are
 // none, but not past a brace that closes more than was opened.
 func (p *parser) guard(f func(), words ...string) {
@@ -445,7 +454,7 @@
 			p.bare = bare
 			p.want("]")
 		case p.take("."):
-			x = &fieldExpr{typed: at, x: x, name: p.name("a field").text}
+			x = &fieldExpr{typed: at, x: x, name: p.field().text}
 		default:
 			return x
 		}
@@ -498,7 +507,7 @@
 			p.i++
 			r := &recExpr{typed: at, name: t.text}
 			p.items("}", func() {
-				n := p.name("a field")
+				n := p.field()
 				p.want(":")
 				r.fields, r.places, r.values = append(r.fields, n.text), append(r.places, n.pos), append(r.values, p.expr())
 			})
@@ -539,9 +548,12 @@
 	case p.take("run"):
 		n := p.name("a point")
 		r := &runExpr{typed: at, point: n.text}
+		bare := p.bare
+		p.bare = false
 		p.want("(")
 		r.arg = p.expr()
 		p.want(")")
+		p.bare = bare
 		return r
 	}
 	p.fail("a value is wanted, not %s", show(t))
