--- a/controller/handover_test.go
+++ b/controller/handover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"crypto/sha256"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -17,6 +19,8 @@
 	"github.com/rs/zerolog"
 
 	"kitehub/daemon"
+	"kitehub/front/webhook"
+	"kitehub/replay"
 	"kitehub/standin"
 )
 
@@ -247,3 +251,69 @@
 	}
 	want(t, exchange(t, c.Addr(), sign(t, common, "c", "m", "safe-1", `{}`, time.Now())), "200 served")
 }
+
+// The old process dies when all its state has gone over and its last word has not: the new one serves, takes the ids as its own,
+// and answers for those that were in hand that they may have run. One that dies before all has come leaves the new one to end.
+func TestHandoverFromDying(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		r, changes, path := handing(t, ms)
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		unix, err := net.Listen("unix", filepath.Join(r.dir, "s"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		links, err := daemon.ListenLinks(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := sign(t, common, "c", "known", "unsafe-1", `{}`, time.Now().Add(-3*time.Second))
+		state := legacy{Front: webhook.State{Highest: time.Now().Unix(), Durable: time.Now().Unix() + 10, Known: []replay.Remembered{
+			{Key: replay.Key{ID: "known"}, Last: time.Now().Unix() - 3, Running: true, Digest: bodyDigest("unsafe-1", m)}}}}
+		text, _ := json.Marshal(state)
+		go func() {
+			uc, err := links.AcceptUnix()
+			if err != nil {
+				return
+			}
+			l := daemon.NewLink(uc)
+			l.Receive(10 * time.Second)
+			l.Send(daemon.Sockets, nil, tcp.(syscall.Conn), unix.(syscall.Conn))
+			l.Receive(10 * time.Second)
+			if l.SendAll(text); whole {
+				l.Send(daemon.Whole, nil)
+			}
+			tcp.Close()
+			unix.(*net.UnixListener).SetUnlinkOnClose(false)
+			unix.Close()
+			links.Close()
+			l.Close() // as the end of its process would
+		}()
+		c, err := r.succeed(path, changes)
+		if !whole {
+			if err == nil {
+				t.Error("it serves with a part of the state")
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(c.Kill)
+		want(t, exchange(t, c.Addr(), m), "409 replayed")
+		<-c.following
+		want(t, exchange(t, c.Addr(), sign(t, common, "c", "known", "unsafe-1", `{}`, time.Now())), "502 failed")
+		want(t, exchange(t, c.Addr(), sign(t, common, "c", "new", "unsafe-1", `{}`, time.Now())), "200 served")
+		if n := r.ran("unsafe-1"); n != 1 {
+			t.Errorf("%d runs", n)
+		}
+	}
+}
+
+// bodyDigest is what the front remembers of a message's body.
+func bodyDigest(function string, m message) []byte {
+	sum := sha256.Sum256(append([]byte(function+"\x00\x00"), m.m.Body...))
+	return sum[:]
+}
--- a/controller/rpc_test.go
+++ b/controller/rpc_test.go
@@ -270,3 +270,60 @@
 		t.Error(n)
 	}
 }
+
+// Half a message does nothing: neither when its client leaves, nor when its time is up.
+func TestRPCHalfFrame(t *testing.T) {
+	r := newRig(t, 1, nil)
+	b := r.build("c", withRPC(r, "")...)
+	b.RPC.Half = 30 * ms
+	c := r.start(b)
+	l := dial(t, r)
+	l.nc.Write([]byte(call("1", "unsafe-1", "")))
+	l.nc.(*net.UnixConn).CloseWrite()
+	if got := l.next(); got != "end" {
+		t.Error(got)
+	}
+	l = dial(t, r)
+	l.nc.Write([]byte(call("1", "unsafe-1", "")[:30]))
+	if got := l.next(); !strings.Contains(got, "half a message") || l.next() != "end" {
+		t.Error(got)
+	}
+	if n := c.RPC.Counts.Calls.Load(); n != 0 || r.ran("unsafe-1") != 0 {
+		t.Errorf("%d calls", n)
+	}
+}
+
+// A script's file is taken anew on reload while calls go on; a wrong one leaves the old one, and others are taken.
+func TestScriptsReload(t *testing.T) {
+	r := newRig(t, 1, nil)
+	write := func(name, text string) string {
+		f := filepath.Join(r.dir, name)
+		if err := os.WriteFile(f, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return f
+	}
+	a, b := write("a", "on arrive(c) { refuse(\"one\") }"), write("b", "on ended(e) {}")
+	cfg := r.build("c", withRPC(r, fmt.Sprintf("hooks { scripts { name: \"a\" file: %q } scripts { name: \"b\" file: %q } }", a, b))...)
+	c := r.start(cfg)
+	l := dial(t, r)
+	if got := l.ask(call("1", "safe-1", "")); !strings.Contains(got, "-32010") {
+		t.Error(got)
+	}
+	write("a", "on arrive(c) {")
+	write("b", "on ended(e) { log(\"b\") }")
+	if err := c.SetScripts(cfg); err == nil || !strings.Contains(err.Error(), "a.hook:1:15") {
+		t.Error(err)
+	}
+	o, _ := c.Hooks().Overview()
+	if len(o.Scripts) != 2 || o.Scripts[0].Live != 1 || o.Scripts[1].Live != 3 {
+		t.Errorf("%+v", o.Scripts)
+	}
+	write("a", "on arrive(c) {}")
+	if err := c.SetScripts(cfg); err != nil {
+		t.Error(err)
+	}
+	if got := l.ask(call("1", "safe-1", "")); !strings.Contains(got, "result") {
+		t.Error(got)
+	}
+}
