Stop and kill in mid-handover, bounds on scripts' tests, an engine that can be killed

A read of the whole change found: Stop while a successor had the controller halted would have closed things twice or waited for ever (now the handover is called off, what waits is answered; test); a script of thousands of tests, each just within its fuel, would have held the one who loads it for minutes, and thousands of functions the checker (now 100 tests, up to the first that fails, and 500 functions); Kill stored what the end of a process would not.

--- a/cmd/kitehub/hook.go
+++ b/cmd/kitehub/hook.go
@@ -102,7 +102,7 @@
 		if err != nil {
 			return err
 		}
-		l := p.Test(nil)
+		l := p.Test()
 		for _, r := range l {
 			if r.Err != nil {
 				bad++
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -72,13 +72,12 @@
 	wc          webhook.Config
 	functions   *gateway.Functions
 	models      *models
-	hooks       *hooks.Engine
+	hooks       atomic.Pointer[hooks.Engine]
 	notifier    *hooks.Notifier
 	tap         tap
 	rpcListener net.Listener
 	draining    atomic.Bool
 	successors  *net.UnixListener
-	unlocked    bool
 	o           Options
 	over        chan struct{}
 	afterDone   func()
@@ -339,7 +338,7 @@
 	if c.peers != nil {
 		c.peers.close()
 	}
-	c.unlock()
+	c.release()
 	return err
 }
 
@@ -353,8 +352,8 @@
 }
 
 func (c *Controller) endHooks() {
-	if c.hooks != nil {
-		c.hooks.Close()
+	if c.hooks.Load() != nil {
+		c.hooks.Load().Close()
 	}
 	if c.notifier != nil {
 		c.notifier.Close()
@@ -414,6 +413,9 @@
 	if c.watch != nil {
 		c.watch.Stop()
 	}
+	if c.hooks.Load() != nil {
+		c.hooks.Load().Kill()
+	}
 	c.endHooks()
 	if c.Backend != nil {
 		c.Backend.Close()
@@ -422,7 +424,15 @@
 	if c.peers != nil {
 		c.peers.close()
 	}
+	c.release()
+}
+
+// release unlocks the folder, if it is this controller's.
+func (c *Controller) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.unlock != nil {
 		c.unlock()
+		c.unlock = nil
 	}
 }
--- a/controller/handover.go
+++ b/controller/handover.go
@@ -133,9 +133,9 @@
 	if s.Spent, err = c.Gateway.Spent(); err != nil {
 		return err
 	}
-	if c.hooks != nil {
+	if c.hooks.Load() != nil {
 		c.tap.engine.Store(nil)
-		if err := c.hooks.Close(); err != nil {
+		if err := c.hooks.Load().Close(); err != nil {
 			c.log.Error().Err(err).Msg("hooks")
 		}
 	}
@@ -146,26 +146,28 @@
 	if err := l.SendAll(text); err != nil {
 		return err
 	}
-	if err := c.unlock(); err != nil {
-		return err
-	}
-	c.unlocked = true
+	c.release()
 	return l.Send(daemon.Whole, nil)
 }
 
 // goOn takes back what halt gave. The folder may still be the other's for a moment.
 func (c *Controller) goOn() {
-	for c.unlocked && !c.dead.Load() {
+	c.mu.Lock()
+	locked := c.unlock != nil
+	c.mu.Unlock()
+	for !locked && !c.ended.Load() { // unless it stops meanwhile: then nobody needs it
 		unlock, err := store.Lock(filepath.Dir(c.b.Mark))
 		if err == nil {
-			c.unlock, c.unlocked = unlock, false
+			c.mu.Lock()
+			c.unlock = unlock
+			c.mu.Unlock()
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	c.Gateway.Retire(false)
-	if c.hooks != nil {
-		c.hooks = nil
+	if c.hooks.Load() != nil && !c.ended.Load() {
+		c.hooks.Store(nil)
 		if err := c.startHooks(c.o); err != nil {
 			c.log.Error().Err(err).Msg("hooks do not go on")
 		}
@@ -178,9 +180,13 @@
 
 // yield gives the connections away and finishes what is in hand.
 func (c *Controller) yield(l *daemon.Link, told chan ended) {
+	if c.ended.Swap(true) { // it stops already, with all that it has; from here on Stop is this
+		l.Send(daemon.Abort, nil)
+		c.goOn()
+		return
+	}
 	c.log.Info().Int("open", c.Gateway.Open()).Msg("handover: the successor takes over")
 	c.draining.Store(true)
-	c.ended.Store(true) // Stop is this from here on
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
--- a/controller/handover_test.go
+++ b/controller/handover_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -317,3 +320,52 @@
 	sum := sha256.Sum256(append([]byte(function+"\x00\x00"), m.m.Body...))
 	return sum[:]
 }
+
+// A controller that is told to stop while a successor has it halted stops, with all that waited answered, and does not yield.
+func TestStopInHandover(t *testing.T) {
+	r, changes, path := handing(t, ms)
+	c := r.start(r.build("c", changes...))
+	nc, err := net.Dial("tcp", c.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(20 * time.Second))
+	first := sign(t, common, "c", "first", "safe-1", `{}`, time.Now())
+	nc.Write(first.bytes())
+	want(t, readAnswer(t, bufio.NewReader(nc), first), "200 served")
+	l, err := daemon.DialLink(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	l.Send(daemon.Hello, nil)
+	_, _, files, _ := l.Receive(10 * time.Second)
+	for _, f := range files {
+		f.Close()
+	}
+	l.Send(daemon.Wish, nil)
+	for k := daemon.Kind(0); k != daemon.Whole; {
+		if k, _, _, err = l.Receive(10 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	nc.Write(sign(t, common, "c", "waits", "safe-1", `{}`, time.Now()).bytes())
+	stopped := make(chan error)
+	go func() { stopped <- c.Stop(time.Second) }()
+	for !c.ended.Load() {
+		time.Sleep(ms)
+	}
+	l.Send(daemon.Taken, nil)
+	if k, _, _, err := l.Receive(10 * time.Second); err != nil || k != daemon.Abort {
+		t.Errorf("%c %v", k, err)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	// It was read, and refused; or it was not, and its connection ended.
+	text, err := io.ReadAll(nc)
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) || len(text) > 0 && !bytes.HasPrefix(text, []byte("HTTP/1.1 503")) {
+		t.Errorf("%v: %s", err, text)
+	}
+}
--- a/controller/operate.go
+++ b/controller/operate.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	c.hooks = e
+	c.hooks.Store(e)
 	c.tap.engine.Store(e)
 	if err := c.loadScripts(c.b); err != nil { // a wrong script must not keep calls from being served
 		o.Log.Error().Err(err).Msg("hooks: what ran before goes on")
@@ -120,7 +120,7 @@
 		text, err := os.ReadFile(s.File)
 		if err == nil {
 			var warnings hook.Problems
-			_, warnings, err = c.hooks.Load(s.Name, string(text), s.File, s.Shadow)
+			_, warnings, err = c.hooks.Load().Load(s.Name, string(text), s.File, s.Shadow)
 			for _, w := range warnings {
 				c.log.Warn().Str("script", s.Name).Msg(w.Error())
 			}
@@ -191,7 +191,7 @@
 			s.Rpc = map[string]int64{"connections": k.Connections.Load(), "denied": k.Denied.Load(), "messages": k.Messages.Load(), "bad": k.Bad.Load(), "calls": k.Calls.Load(),
 				"cancelled": k.Cancelled.Load(), "joined": k.Joined.Load(), "kept": k.Kept.Load(), "events": k.Events.Load(), "events_lost": k.EventsLost.Load(), "cut": k.Cut.Load()}
 		}
-		if e := c.hooks; e != nil {
+		if e := c.hooks.Load(); e != nil {
 			k := &e.Counts
 			s.Hooks = map[string]int64{"posted": k.Posted.Load(), "dropped": k.Dropped.Load(), "inline": k.Inline.Load(), "inline_ns": k.InlineNanos.Load() / max(1, k.Inline.Load()),
 				"aside": k.Aside.Load(), "aside_ns": k.AsideNanos.Load() / max(1, k.Aside.Load()), "faults": k.Faults.Load(), "refusals": k.Refusals.Load(), "over": k.Over.Load()}
@@ -227,7 +227,7 @@
 		}
 		return "ok", c.Reload()
 	}
-	if c.hooks == nil {
+	if c.hooks.Load() == nil {
 		switch method {
 		case "hooks", "hook.load", "hook.promote", "hook.rollback", "hook.release", "hook.remove":
 			return nil, errors.New("no hooks are configured")
@@ -238,7 +238,7 @@
 }
 
 func (op operator) hook(method string, user jsonrpc.User, params func(any) error) (any, error) {
-	e := op.c.hooks
+	e := op.c.hooks.Load()
 	var p struct {
 		Name   string `json:"name"`
 		Text   string `json:"text"`
@@ -290,20 +290,20 @@
 }
 
 // Hooks returns the engine that runs scripts, or nil.
-func (c *Controller) Hooks() *hooks.Engine { return c.hooks }
+func (c *Controller) Hooks() *hooks.Engine { return c.hooks.Load() }
 
 // LoadHook takes a script.
 func (c *Controller) LoadHook(name, text string) error {
-	if c.hooks == nil {
+	if c.hooks.Load() == nil {
 		return errors.New("no hooks are configured")
 	}
-	_, _, err := c.hooks.Load(name, text, "rig", false)
+	_, _, err := c.hooks.Load().Load(name, text, "rig", false)
 	return err
 }
 
 // SetScripts takes the hooks' files as they are now.
 func (c *Controller) SetScripts(b *config.Built) error {
-	if c.hooks == nil {
+	if c.hooks.Load() == nil {
 		return nil
 	}
 	return c.loadScripts(b)
--- a/hook/check.go
+++ b/hook/check.go
@@ -146,8 +146,17 @@
 			c.states[d.name] = d
 		}
 	}
-	if len(c.s.states) > 100 {
-		c.problem(c.s.states[100].pos, "more than 100 state variables")
+	// Bounds of what a check may take, and of the tests that run before a script is loaded.
+	if len(c.s.states) > maxStates {
+		c.problem(c.s.states[maxStates].pos, "more than %d state variables", maxStates)
+	}
+	if len(c.s.funcs) > maxFuncs {
+		c.problem(c.s.funcs[maxFuncs].pos, "more than %d functions", maxFuncs)
+		return
+	}
+	if len(c.s.tests) > maxTests {
+		c.problem(c.s.tests[maxTests].pos, "more than %d tests", maxTests)
+		return
 	}
 	for _, d := range c.s.funcs {
 		c.function(d)
--- a/hook/doc.go
+++ b/hook/doc.go
@@ -72,6 +72,9 @@
 	maxProblems = 20
 	maxSlots    = 200 // variables of a function
 	maxCode     = 50_000
+	maxStates   = 100
+	maxFuncs    = 500
+	maxTests    = 100
 	maxMinutes  = 24 * 60
 )
 
--- a/hook/hostile_test.go
+++ b/hook/hostile_test.go
@@ -315,7 +315,7 @@
 				t.Fatal(err)
 			}
 		}
-		for _, r := range p.Test(nil) {
+		for _, r := range p.Test() {
 			if r.Err != nil && r.Err.(*Fault).Kind == FaultInternal {
 				t.Fatal(r.Err)
 			}
--- a/hook/state.go
+++ b/hook/state.go
@@ -200,10 +200,21 @@
 // testEnv is the clock of tests: a day's begin.
 var testEnv = Env{Now: int64(24 * time.Hour), Wall: 86400}
 
+// FirstFailure runs the tests up to the first that fails.
+func (p *Program) FirstFailure() error {
+	for _, t := range p.tests {
+		one := *p
+		one.tests = []test{t}
+		if r := one.Test(); r[0].Err != nil {
+			return fmt.Errorf("test %q: %w", t.name, r[0].Err)
+		}
+	}
+	return nil
+}
+
 // Test runs the tests of a program in the order of the text, each from the first state. Their clock stands at a day's begin.
-func (p *Program) Test(trace func(function string, pos Pos, locals []Value)) (l []TestResult) {
+func (p *Program) Test() (l []TestResult) {
 	vm := NewVM()
-	vm.Trace = trace
 	for _, t := range p.tests {
 		vm.start(p, p.State(), testEnv, Aside)
 		err := vm.guard(p, func() { vm.exec(p.funcs[t.fn], nil) })
--- a/hooks/control.go
+++ b/hooks/control.go
@@ -68,10 +68,8 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	for _, t := range p.Test(nil) { // a script whose own tests fail is not what its author means
-		if t.Err != nil {
-			return 0, p.Warnings, t.Err
-		}
+	if err := p.FirstFailure(); err != nil { // a script whose own tests fail is not what its author means
+		return 0, p.Warnings, err
 	}
 	if stopped := e.do(func() { version, err = e.life.Load(name, text, from, shadow); e.follow() }); stopped != nil {
 		return 0, p.Warnings, stopped
--- a/hooks/engine.go
+++ b/hooks/engine.go
@@ -59,6 +59,7 @@
 	stop   chan struct{}
 	done   chan struct{}
 	once   sync.Once
+	killed atomic.Bool
 	pool   sync.Pool
 	live   atomic.Pointer[[]inline]
 	points atomic.Pointer[map[string]bool] // that some script has a handler of
@@ -227,6 +228,12 @@
 	return e.failed
 }
 
+// Kill ends the engine as the end of its process would: what is not stored yet is lost.
+func (e *Engine) Kill() {
+	e.killed.Store(true)
+	e.Close()
+}
+
 // Arrive runs the handlers of a call that arrives, on the caller's goroutine, and judges it. The call is counted in hand of its
 // tenant until Left. A call is judged by the versions that were live when it arrived.
 func (e *Engine) Arrive(c hook.Call) advice.Verdict {
@@ -315,7 +322,9 @@
 	for {
 		select {
 		case <-e.stop:
-			e.store(true)
+			if !e.killed.Load() {
+				e.store(true)
+			}
 			if e.log != nil {
 				e.log.Close()
 			}
