--- /dev/null
+++ b/hooks/notify_test.go
@@ -0,0 +1,64 @@
+package hooks
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kitehub/advice"
+	"kitehub/internal/clock"
+	"kitehub/internal/http1"
+	"kitehub/signing"
+)
+
+// A notice is signed, tried again under its id until it is taken, and one for nobody is counted.
+func TestNotifier(t *testing.T) {
+	key, err := signing.ParseKey("whsec_MfKQ9r8GKYqrTwjUPD8ILPZIo2LaLaSw")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var ids []string
+	taken := make(chan string, 10)
+	srv := &http1.Server{Handler: http1.HandlerFunc(func(c *http1.Conn, r *http1.Request) *http1.Response {
+		mu.Lock()
+		defer mu.Unlock()
+		m := signing.Message{ID: r.Header.Get("webhook-id"), Stamp: r.Header.Get("webhook-timestamp"), Body: r.Body}
+		if !key.Verify(m, r.Header.Get("webhook-signature")) || r.Path() != "/n" {
+			t.Errorf("%s: not signed", r.Target)
+		}
+		if ids = append(ids, m.ID); len(ids) < 3 {
+			return &http1.Response{Status: 500}
+		}
+		taken <- string(r.Body)
+		return &http1.Response{Status: 204}
+	})}
+	go srv.Serve(ln)
+	defer srv.Cut()
+	defer ln.Close()
+	n := NewNotifier("c", []Target{{Name: "ops", Address: ln.Addr().String(), Path: "/n", Key: key}}, clock.System(), zerolog.Nop())
+	defer n.Close()
+	n.Notify(advice.Notice{Script: "a", Target: "nobody", Text: "x"})
+	n.Notify(advice.Notice{Script: "a", Target: "ops", Text: "lost 3"})
+	select {
+	case got := <-taken:
+		if !strings.Contains(got, `"type":"hook.notice"`) || !strings.Contains(got, `"text":"lost 3"`) {
+			t.Error(got)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("not taken")
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(ids) != 3 || ids[0] != ids[2] || n.Failed.Load() != 1 {
+		t.Errorf("ids %v, %d failed", ids, n.Failed.Load())
+	}
+}
