A text that was given up is not taken again; the live text is not tried in the shadow

Found in a read of the change: scripts of files are loaded at each start and on SIGHUP, so a version that the circuit had given up came back with the next restart, and one that had been promoted ran in its own shadow. Both decided in Lifecycle, with tests.

--- a/hooks/hooks_test.go
+++ b/hooks/hooks_test.go
@@ -1,6 +1,7 @@
 package hooks
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -54,6 +55,9 @@
 	if err := l.Rollback("a"); err == nil {
 		t.Error("back to a version that was given up")
 	}
+	if _, err := l.Load("a", "two", "x", false); !errors.Is(err, ErrGivenUp) || s.Live.Text != "one" {
+		t.Errorf("the text that was given up is taken again: %v", err)
+	}
 	for n := 0; s.Live.Bad == "" && n < 1000; n++ {
 		if s.open {
 			now = s.until
@@ -90,6 +94,9 @@
 	if again, _ := l.Load("a", "two", "x", true); again != v {
 		t.Error("the same text is a new version")
 	}
+	if n, _ := l.Load("a", "one", "x", true); n != 1 || l.Find("a").Shadow.Number != v {
+		t.Error("the live text is tried in the shadow")
+	}
 	if err := l.Promote("a", false); err == nil || !strings.Contains(err.Error(), "0 runs of 3") {
 		t.Error(err)
 	}
--- a/hooks/lifecycle.go
+++ b/hooks/lifecycle.go
@@ -114,6 +114,7 @@
 	ErrUnknown = errors.New("hooks: no such script")
 	ErrTrial   = errors.New("hooks: the shadow has not been tried enough")
 	ErrNothing = errors.New("hooks: nothing to go to")
+	ErrGivenUp = errors.New("hooks: this very text was given up, change it")
 )
 
 var scriptName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,63}$`)
@@ -151,7 +152,7 @@
 }
 
 // Load takes a text that compiles. With shadow set it runs beside the live version until it is promoted; else it is live at
-// once. The text that is live or in the shadow already changes nothing.
+// once. The text that is live, or in the shadow already, changes nothing; one that was given up is not taken.
 func (l *Lifecycle) Load(name, text, from string, shadow bool) (uint64, error) {
 	if !scriptName.MatchString(name) {
 		return 0, fmt.Errorf("hooks: %q is no name of a script: lower case letters, digits, dots, dashes, at most 64", name)
@@ -166,10 +167,13 @@
 		slices.SortFunc(l.Scripts, func(a, b *Script) int { return cmp.Compare(a.Name, b.Name) })
 	}
 	digest := Digest(text)
-	for _, v := range []*Version{s.Live, s.Shadow} {
-		if v != nil && v.Digest == digest && (v == s.Shadow) == shadow {
-			return v.Number, nil
-		}
+	switch same := func(v *Version) bool { return v != nil && v.Digest == digest }; {
+	case same(s.Live):
+		return s.Live.Number, nil // nothing is to be tried that runs already
+	case shadow && same(s.Shadow):
+		return s.Shadow.Number, nil
+	case same(s.Before) && s.Before.Bad != "": // a file that is read again must not bring it back
+		return 0, fmt.Errorf("%w: %s", ErrGivenUp, s.Before.Bad)
 	}
 	l.Last++
 	v := &Version{Number: l.Last, Digest: digest, Text: text, From: from}
