--- a/hook/hostile_test.go
+++ b/hook/hostile_test.go
@@ -192,3 +192,12 @@
 		}
 	})
 }
+
+// Equal floats look alike: the oracle's first 20,000 programs found a zero with a sign.
+func TestNoNegativeZero(t *testing.T) {
+	p := compile(t, "on ended(e) {\nlet z = 0.0\nlog(str((0.0 - 1.5) * z))\nlog(str(-z))\n}")
+	res, err := NewVM().Run(p, "ended", Ended{}, p.State(), Env{}, Aside)
+	if err != nil || len(res.Advice) != 2 || res.Advice[0].Text != "0.0" || res.Advice[1].Text != "0.0" {
+		t.Errorf("%v %+v", err, res.Advice)
+	}
+}
