Handover: ends while halted are told, and answers of model versions stay behind

A call that ended between the halt and the last word was not told to the successor, which answered its client's repeat 502 in place of the answer (test seen to fail before the mend).

--- a/controller/handover.go
+++ b/controller/handover.go
@@ -30,8 +30,23 @@
 
 // ended is how a call in hand of the old process ended.
 type ended struct {
-	Key replay.Key
-	End replay.Answer
+	Key    replay.Key
+	End    replay.Answer
+	Unkept bool // its answer is not given again
+}
+
+// toSuccessor is what the other process is told of an end. An answer of a model's version does not go over: it must be asked for at the
+// door each time, and the other could not; nor does one that fits no packet.
+func toSuccessor(k replay.Key, a replay.Answer) []byte {
+	e := ended{Key: k, End: a}
+	if a.Tag == nil {
+		if text, err := json.Marshal(e); err == nil && len(text) <= daemon.PartSize {
+			return text
+		}
+	}
+	e.End, e.Unkept = replay.Answer{Refused: a.Refused, Status: a.Status}, !a.Refused
+	text, _ := json.Marshal(e) // strings and numbers cannot fail
+	return text
 }
 
 // serveHandover lets successors come.
@@ -88,7 +103,7 @@
 			}
 		case daemon.Halt:
 			halted = true
-			err = c.halt(l)
+			err = c.halt(l, told)
 		case daemon.Yield:
 			c.yield(l, told)
 			return
@@ -122,9 +137,11 @@
 }
 
 // halt has everything new wait, and sends what the other must know. What is in hand goes on.
-func (c *Controller) halt(l *daemon.Link) error {
+func (c *Controller) halt(l *daemon.Link, told chan ended) error {
 	c.log.Info().Int("open", c.Gateway.Open()).Msg("handover: halted")
-	s := legacy{Front: c.Front.Pause(), Open: c.Gateway.Open()}
+	s := legacy{Front: c.Front.Pause(func(k replay.Key, a replay.Answer) {
+		told <- ended{Key: k, End: a}
+	}), Open: c.Gateway.Open()}
 	if c.RPC != nil {
 		c.RPC.Pause()
 	}
@@ -191,13 +208,7 @@
 	go func() {
 		defer close(sent)
 		for e := range told {
-			if text, err := json.Marshal(e); err == nil && len(text) <= daemon.PartSize {
-				l.Send(daemon.Answer, text)
-			} else { // too large to be kept there: that it ended is told
-				e.End.Body, e.End.Status = nil, 502
-				text, _ = json.Marshal(e)
-				l.Send(daemon.Answer, text)
-			}
+			l.Send(daemon.Answer, toSuccessor(e.Key, e.End))
 		}
 	}()
 	l.Send(daemon.Go, nil)
@@ -213,10 +224,7 @@
 			}
 		}
 	})
-	c.Front.Pass(func(k replay.Key, a replay.Answer) {
-		a.Tag = nil
-		told <- ended{k, a}
-	})
+	c.Front.Pass()
 	if u, ok := c.ln.(*net.UnixListener); ok {
 		u.SetUnlinkOnClose(false)
 	}
@@ -399,7 +407,11 @@
 			var e ended
 			if err := json.Unmarshal(b, &e); err == nil {
 				delete(running, e.Key)
-				c.Front.Ended(e.Key, e.End)
+				if e.Unkept {
+					c.Front.Unkept(e.Key)
+				} else {
+					c.Front.Ended(e.Key, e.End)
+				}
 			}
 		}
 		if k == daemon.Done {
--- a/controller/handover_test.go
+++ b/controller/handover_test.go
@@ -23,6 +23,7 @@
 
 	"kitehub/daemon"
 	"kitehub/front/webhook"
+	"kitehub/internal/trace"
 	"kitehub/replay"
 	"kitehub/standin"
 )
@@ -369,3 +370,70 @@
 		t.Errorf("%v: %s", err, text)
 	}
 }
+
+// A call that ends while its process is halted is told to the successor like any other in hand.
+func TestEndedWhileHalted(t *testing.T) {
+	r, changes, path := handing(t, 300*ms)
+	c := r.start(r.build("c", changes...))
+	first := make(chan answer, 1)
+	go func() {
+		first <- exchange(t, c.Addr(), sign(t, common, "c", "once", "unsafe-1", `{}`, time.Now()))
+	}()
+	r.await(kind(trace.Began))
+	l, err := daemon.DialLink(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	until := func(want daemon.Kind) []byte {
+		for {
+			k, b, files, err := l.Receive(10 * time.Second)
+			for _, f := range files {
+				f.Close()
+			}
+			if err != nil || k == daemon.Done && want != daemon.Done {
+				t.Fatalf("%c %v: %c is wanted", k, err, want)
+			}
+			if k == want {
+				return b
+			}
+		}
+	}
+	l.Send(daemon.Hello, nil)
+	until(daemon.Sockets)
+	l.Send(daemon.Wish, nil)
+	until(daemon.Whole)
+	want(t, <-first, "200 served") // what is in hand goes on, halted or not
+	l.Send(daemon.Taken, nil)
+	var e ended
+	if err := json.Unmarshal(until(daemon.Answer), &e); err != nil || e.Key.ID != "once" || e.End.Status != 200 {
+		t.Errorf("%v %+v", err, e)
+	}
+}
+
+// An answer of a model's version never goes over: the successor could not ask whether its alias has left it.
+func TestVersionedAnswerStays(t *testing.T) {
+	k := replay.Key{ID: "x"}
+	for _, c := range []struct {
+		a      replay.Answer
+		unkept bool
+		body   string
+	}{
+		{replay.Answer{Status: 200, Body: []byte("v1")}, false, "v1"},
+		{replay.Answer{Status: 200, Body: []byte("v1"), Tag: 1}, true, ""},
+		{replay.Answer{Status: 200, Body: make([]byte, daemon.PartSize)}, true, ""},
+		{replay.Answer{Status: 503, Refused: true, Body: []byte("no"), Tag: 1}, false, ""},
+	} {
+		var e ended
+		if err := json.Unmarshal(toSuccessor(k, c.a), &e); err != nil || e.Unkept != c.unkept || string(e.End.Body) != c.body || e.End.Refused != c.a.Refused {
+			t.Errorf("%v %+v", err, e)
+		}
+	}
+	now := time.Now()
+	g := replay.NewGuard(replay.Settings{Past: time.Minute, Future: time.Second, Ahead: time.Second, Entries: 9, Bytes: 99}, now, time.Time{})
+	g.Import([]replay.Remembered{{Key: k, Last: now.Unix() - 2, Running: true, Digest: make([]byte, 32)}}, 0, now.Unix()+5, 0)
+	g.Unkept(k)
+	if v, _, _ := g.Take(now, replay.Message{Key: k, Stamp: now.Add(-time.Second)}); v != replay.Lost {
+		t.Errorf("verdict %v: lost is wanted, neither run again nor given", v)
+	}
+}
--- a/front/webhook/front.go
+++ b/front/webhook/front.go
@@ -102,10 +102,12 @@
 	Barrier, Durable, Highest int64
 }
 
-// Pause has all further messages wait, and returns what is known of those before. Resume or Pass ends it.
-func (f *Front) Pause() State {
+// Pause has all further messages wait, and returns what is known of those before; ended is told how those in hand end from then
+// on, and must not block. Resume or Pass ends it.
+func (f *Front) Pause(ended func(replay.Key, replay.Answer)) State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.ended = ended
 	f.paused = make(chan struct{})
 	var s State
 	s.Known, s.Barrier, s.Durable, s.Highest = f.guard.Export()
@@ -117,14 +119,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	close(f.paused)
-	f.paused = nil
+	f.paused, f.ended = nil, nil
 }
 
-// Pass has all further messages passed on with their connections; ended is told how those in hand end.
-func (f *Front) Pass(ended func(replay.Key, replay.Answer)) {
+// Pass has all further messages passed on with their connections.
+func (f *Front) Pass() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.passed, f.ended = true, ended
+	f.passed = true
 	close(f.paused)
 	f.paused = nil
 }
@@ -136,6 +138,13 @@
 	f.guard.Ended(k, a)
 }
 
+// Unkept says the same where the answer did not come with it.
+func (f *Front) Unkept(k replay.Key) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.guard.Unkept(k)
+}
+
 // Abandoned says that the process before has ended with these in hand: what became of them is not known.
 func (f *Front) Abandoned(l []replay.Key) {
 	resp := problem(502, "failed", "the process that had it has ended, and it may have run", nil)
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -189,6 +189,13 @@
 	e.answer = a
 }
 
+// Unkept says that a call has ended, not refused, with an answer that is not kept.
+func (g *Guard) Unkept(k Key) {
+	if e := g.known[k]; e != nil && e.running {
+		e.running, e.dropped = false, true
+	}
+}
+
 // Withdrawn says that a kept answer may not be given any more, and was never given; trying again does no harm.
 func (g *Guard) Withdrawn(k Key) {
 	if e := g.known[k]; e != nil && !e.running {
