Handover: the last word goes before all ends; JSON-RPC keys wait out the old process

A keyed call repeated on the second front after a handover could run beside or after the old process's run of it: the new one refuses keys there for a deadline and a window of their class (test seen to fail without).

--- a/controller/handover.go
+++ b/controller/handover.go
@@ -204,6 +204,7 @@
 	}
 	c.log.Info().Int("open", c.Gateway.Open()).Msg("handover: the successor takes over")
 	c.draining.Store(true)
+	l.Send(daemon.Go, nil) // before what was told while halted: the other takes nothing else until then
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
@@ -211,7 +212,6 @@
 			l.Send(daemon.Answer, toSuccessor(e.Key, e.End))
 		}
 	}()
-	l.Send(daemon.Go, nil)
 	var mu sync.Mutex
 	open := true
 	c.HTTP.Detach(func(nc net.Conn, read []byte) {
--- a/controller/handover_test.go
+++ b/controller/handover_test.go
@@ -405,6 +405,7 @@
 	until(daemon.Whole)
 	want(t, <-first, "200 served") // what is in hand goes on, halted or not
 	l.Send(daemon.Taken, nil)
+	until(daemon.Go) // and not after the answer
 	var e ended
 	if err := json.Unmarshal(until(daemon.Answer), &e); err != nil || e.Key.ID != "once" || e.End.Status != 200 {
 		t.Errorf("%v %+v", err, e)
@@ -437,3 +438,28 @@
 		t.Errorf("verdict %v: lost is wanted, neither run again nor given", v)
 	}
 }
+
+// A key of the second front that the old process may have run is not taken by its successor; calls without one are.
+func TestHandoverRefusesKeys(t *testing.T) {
+	r, changes, path := handing(t, ms)
+	c := r.start(r.build("c", changes...))
+	if got := dial(t, r).ask(call("1", "keyed-1", `,"key":"k"`)); !strings.Contains(got, "result") {
+		t.Error(got)
+	}
+	next, err := r.succeed(path, changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(next.Kill)
+	<-c.Over()
+	l := dial(t, r)
+	if got := l.ask(call("1", "keyed-1", `,"key":"k"`)); !strings.Contains(got, "-32010") || !strings.Contains(got, "the process before") {
+		t.Error(got)
+	}
+	if got := l.ask(call("2", "safe-1", "")); !strings.Contains(got, "result") {
+		t.Error(got)
+	}
+	if n := r.ran("keyed-1"); n != 1 {
+		t.Errorf("the key ran %d times", n)
+	}
+}
--- a/controller/operate.go
+++ b/controller/operate.go
@@ -141,6 +141,9 @@
 	wc := c.wc
 	rc.Gateway, rc.Functions, rc.Clock, rc.Log, rc.Operator = c.Gateway, c.functions.Find, o.Clock, o.Log, operator{c}
 	rc.Deadline, rc.Effect, rc.Models = wc.Deadline, wc.Effect, wc.Models
+	if o.After != nil {
+		rc.After = o.Clock.Now()
+	}
 	c.RPC = jsonrpc.New(rc)
 	c.tap.rpc.Store(c.RPC)
 	var ln net.Listener
--- a/front/jsonrpc/call.go
+++ b/front/jsonrpc/call.go
@@ -64,6 +64,12 @@
 	if (effect == choice.Keyed) != (p.Key != "") {
 		return problem(CodeParams, "key: a call of this class has %s", map[bool]string{true: "one", false: "none"}[effect == choice.Keyed])
 	}
+	if after := s.cfg.After; after > 0 && effect == choice.Keyed {
+		// The other process took calls until then, each for its deadline at most, and may have run one with this key.
+		if left := after + s.cfg.Deadline(fn.Class) + s.cfg.Window(fn.Class) - s.cfg.Clock.Now(); left > 0 {
+			return &Error{CodeRefused, "the process before may have run this key", map[string]any{"outcome": "refused", "retry_after_ms": left.Milliseconds() + 1}}
+		}
+	}
 	h := &inHand{}
 	id := string(r.ID)
 	c.mu.Lock()
--- a/front/jsonrpc/server.go
+++ b/front/jsonrpc/server.go
@@ -49,8 +49,11 @@
 	Events    int           // that wait for a connection: 256
 	Write     time.Duration // a write may take: 5 s
 	Half      time.Duration // a line may take to arrive, once it has begun: 10 s
-	Keys      int           // keyed calls remembered: 10000
-	KeyBytes  int           // of their answers: 16 MiB
+	// After is when this process took over from another, whose keys it does not know: a key is not taken until the other's calls
+	// of its class have ended and their window is over. 0: it took over from none.
+	After    time.Duration
+	Keys     int // keyed calls remembered: 10000
+	KeyBytes int // of their answers: 16 MiB
 }
 
 // An Operator carries out what operators ask for beside calls. A result is rendered as JSON.
