--- /dev/null
+++ b/backend/frame/conn.go
@@ -0,0 +1,233 @@
+package frame
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"kitehub/choice"
+	"kitehub/internal/outbox"
+)
+
+// An exchange is a call or an order on a connection, until it ends.
+type exchange struct {
+	c     *conn
+	id    uint64
+	end   uint64 // of its frame in the connection's stream
+	order bool
+	over  func(choice.Outcome, *answer) // called once, by whoever takes it from the table
+	timer *time.Timer
+	sent  time.Duration
+}
+
+// A conn is a connection to a worker. Exchanges are found by id; an id is not used twice on one connection while an answer
+// to its first use may still come.
+type conn struct {
+	net.Conn
+	p   *peer
+	out *outbox.Outbox
+
+	mu    sync.Mutex
+	open  map[uint64]*exchange
+	past  map[uint64]time.Duration // ids of exchanges that have ended, and when
+	since time.Duration            // last use
+	heard time.Duration            // last whole frame, or the begin of the first exchange open
+	asked time.Duration            // a ping is out since then; 0: none
+	ended bool
+	swept time.Duration
+}
+
+func (b *Backend) newConn(p *peer, nc net.Conn) *conn {
+	now := b.cfg.Clock.Now()
+	return &conn{Conn: nc, p: p, out: outbox.New(nc, b.cfg.MostBody, b.cfg.Patience), open: map[uint64]*exchange{},
+		past: map[uint64]time.Duration{}, since: now, heard: now}
+}
+
+func (c *conn) view(id uint64) view {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, open := c.open[id]
+	_, past := c.past[id]
+	return view{out: len(c.open), since: c.since, suspect: c.asked > 0 || c.ended || c.out.Busy(), knows: open || past}
+}
+
+// start puts an exchange into the table and its frame on the wire. fit is asked at the last moment before the first byte;
+// false from it, or from the connection, means that nothing went out.
+func (c *conn) start(x *exchange, frame []byte, now time.Duration, fit func() bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || c.open[x.id] != nil || !fit() {
+		return false
+	}
+	if len(c.open) == 0 {
+		c.heard = now
+	}
+	x.c, x.sent = c, now
+	c.since = now
+	c.open[x.id] = x
+	x.end, _ = c.out.Send(frame) // if the connection has ended, its reader ends the exchange
+	return true
+}
+
+// take removes an exchange; false if another has ended it.
+func (c *conn) take(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[x.id] != x {
+		return false
+	}
+	delete(c.open, x.id)
+	now := c.p.b.cfg.Clock.Now()
+	c.past[x.id], c.since = now, now
+	if x.timer != nil {
+		x.timer.Stop()
+	}
+	return true
+}
+
+// giveUp ends an exchange without an answer and says so to the worker.
+func (c *conn) giveUp(x *exchange, o choice.Outcome) {
+	if !c.take(x) {
+		return
+	}
+	if !x.order {
+		c.out.Send(appendFrame(nil, codeGiveUp, x.id, nil, nil))
+	}
+	x.over(o, nil)
+}
+
+// read takes answers until the connection ends, and then ends what is open on it.
+func (c *conn) read() {
+	b := c.p.b
+	r := bufio.NewReaderSize(c.Conn, readBuffer)
+	var a answer
+	var err error
+	for {
+		if err = readAnswer(r, b.cfg.MostBody, &a); err != nil {
+			break
+		}
+		c.answer(&a)
+	}
+	if errors.Is(err, errFrame) {
+		b.Counts.Broken.Add(1)
+		b.cfg.Log.Debug().Str("worker", c.p.Name).Err(err).Msg("connection given up")
+	}
+	c.finish()
+}
+
+func (c *conn) answer(a *answer) {
+	now := c.p.b.cfg.Clock.Now()
+	c.mu.Lock()
+	c.heard = now
+	if a.code == codePong {
+		c.asked = 0
+		c.mu.Unlock()
+		return
+	}
+	x := c.open[a.id]
+	c.mu.Unlock()
+	if x == nil { // late, a second copy, or nobody's
+		c.p.b.Counts.Strays.Add(1)
+		return
+	}
+	o, ok := answered(a.code)
+	if x.order {
+		o, ok = held(a.code)
+	}
+	if !ok || !c.take(x) {
+		return
+	}
+	x.over(o, a)
+}
+
+// finish ends a connection and all that is open on it.
+func (c *conn) finish() {
+	c.out.Close()
+	c.mu.Lock()
+	c.ended = true
+	open := c.open
+	c.open = map[uint64]*exchange{}
+	c.mu.Unlock()
+	c.p.remove(c)
+	for _, x := range open {
+		if x.timer != nil {
+			x.timer.Stop()
+		}
+		x.over(lost(c.out.Whole(x.end)), nil)
+	}
+}
+
+// check is called now and then: it asks a silent connection, ends a dead or an idle one, and forgets old ids.
+func (c *conn) check(now time.Duration) {
+	b := c.p.b
+	c.mu.Lock()
+	do := leave
+	switch {
+	case c.ended:
+	case len(c.open) > 0:
+		if do = silent(now, c.heard, c.asked, b.cfg.Patience); do == askIt {
+			c.asked = now
+		}
+	case now-c.since > b.lim.lifeIdle || c.p.withdrawn.Load():
+		do = endIt
+	default:
+		c.asked = 0 // nothing hangs on it any more; a frame that comes later is a stray
+	}
+	if now-c.swept > b.cfg.Forget/4 {
+		c.swept = now
+		for id, at := range c.past {
+			if now-at > b.cfg.Forget {
+				delete(c.past, id)
+			}
+		}
+	}
+	idle := len(c.open) == 0
+	c.mu.Unlock()
+	switch do {
+	case askIt:
+		b.Counts.Pings.Add(1)
+		c.out.Send(appendFrame(nil, codePing, b.ids.Add(1), nil, nil))
+	case endIt:
+		if !idle {
+			b.Counts.Dead.Add(1)
+		}
+		c.out.Close() // the reader ends what is open
+	}
+}
+
+const readBuffer = 2 << 10
+
+// A peer is one worker as known now.
+type peer struct {
+	b         *Backend
+	Name      string
+	Network   string
+	Addr      string
+	withdrawn atomic.Bool // it drains or is gone: nothing new to it
+
+	mu       sync.Mutex
+	conns    []*conn
+	dialling int
+	closed   bool
+}
+
+func (p *peer) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, o := range p.conns {
+		if o == c {
+			p.conns = append(p.conns[:i], p.conns[i+1:]...)
+			p.b.held.Add(-1)
+			return
+		}
+	}
+}
+
+func (p *peer) list() []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]*conn(nil), p.conns...)
+}
--- a/backend/infer.go
+++ b/backend/infer.go
@@ -31,6 +31,8 @@
 // An Attempt is one call of a function at a worker.
 type Attempt struct {
 	Worker   choice.WorkerID
+	Call     string // the client's id of the call, for protocols that pass it on
+	Class    string // its class's name, likewise
 	Function string
 	Trace    string // traceparent
 	Key      string // repeats of it are dropped by the worker's group; "" for none
@@ -52,14 +54,14 @@
 	Status  int    // of the worker's answer, 0 if there was none
 }
 
-// A Running attempt can be cancelled.
-type Running struct{ call }
+// A Running attempt can be cancelled, at any time and from any goroutine.
+type Running interface{ Cancel() }
 
 // Send starts an attempt; done is called once, on a goroutine of its own.
-func (b *Backend) Send(a Attempt, done func(Result)) *Running {
-	r := &Running{call{wanted: a.Wanted}}
-	go func() { done(b.infer(&r.call, a)) }()
-	return r
+func (b *Backend) Send(a Attempt, done func(Result)) Running {
+	x := &call{wanted: a.Wanted}
+	go func() { done(b.infer(x, a)) }()
+	return x
 }
 
 func (b *Backend) infer(x *call, a Attempt) Result {
--- a/cmd/kitehub/main.go
+++ b/cmd/kitehub/main.go
@@ -11,10 +11,12 @@
 	"github.com/alecthomas/kong"
 
 	"kitehub/config"
+	"kitehub/relay"
 )
 
 var cli struct {
 	Serve    serveCmd    `cmd:"" help:"Run one controller until SIGTERM."`
+	Relay    relayCmd    `cmd:"" help:"Run one controller on a platform that configures by RELAY_* and JSON, until SIGTERM."`
 	Demo     demoCmd     `cmd:"" help:"Play a bad day on loopback: controllers, stand-in workers and signed clients. Exit 0 only if all five rules were kept."`
 	Day      dayCmd      `cmd:"" help:"Scripted days of trouble."`
 	Standin  standinCmd  `cmd:"" help:"Host stand-in workers on loopback, for trying things out."`
@@ -48,7 +50,7 @@
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		var p config.Problems
-		if errors.As(err, &p) {
+		if errors.As(err, &p) || relay.IsProblem(err) {
 			os.Exit(2)
 		}
 		os.Exit(1)
--- a/cmd/kitehub/serve.go
+++ b/cmd/kitehub/serve.go
@@ -28,6 +28,13 @@
 // logLines is how many log lines wait for a slow standard error before some are dropped, and counted.
 const logLines = 8192
 
+// lossyLog writes to standard error. The loop must not wait for whoever reads the log: lines are dropped before that.
+func lossyLog() diode.Writer {
+	return diode.NewWriter(os.Stderr, logLines, 5*time.Millisecond, func(missed int) {
+		fmt.Fprintf(os.Stderr, `{"level":"warn","missed":%d,"message":"log lines dropped: standard error is slow"}`+"\n", missed)
+	})
+}
+
 // Run serves until the first SIGTERM or SIGINT has been carried out; a second one ends at once. SIGHUP reads the
 // clients and their keys anew.
 func (s *serveCmd) Run() error {
@@ -35,10 +42,7 @@
 	if err != nil {
 		return err
 	}
-	// The loop must not wait for whoever reads the log.
-	w := diode.NewWriter(os.Stderr, logLines, 5*time.Millisecond, func(missed int) {
-		fmt.Fprintf(os.Stderr, `{"level":"warn","missed":%d,"message":"log lines dropped: standard error is slow"}`+"\n", missed)
-	})
+	w := lossyLog()
 	defer w.Close()
 	log := zerolog.New(w).Level(b.Level).With().Timestamp().Str("controller", b.Name).Logger()
 	for _, text := range b.Warnings {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -70,7 +70,7 @@
 		case wire.Provision:
 			s, err := wire.ParseSettings(e.Env)
 			if err != nil {
-				return nil, fmt.Errorf("offset %d: %w", rec.Offset, err)
+				return nil, fmt.Errorf("%s, offset %d: %w", rec.Name, rec.Offset, err)
 			}
 			h.stop(rec.Instance)
 			d, err := build(s, e.Seed)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -62,7 +62,7 @@
 	log     zerolog.Logger
 	ln      net.Listener
 	watch   *discovery.Watcher
-	peers   *peers
+	peers   *Peers
 	agent   *agent.Agent
 	unlock  func() error
 	// Reload, where set, is what operators bring about by the method reload. It is set before the first is served.
@@ -203,7 +203,7 @@
 	}
 	c.watch = discovery.Start(dc)
 	if c.peers != nil {
-		go c.peers.receive(c.Gateway)
+		go c.peers.Receive(c.Gateway)
 	}
 	handler := http1.Handler(c.Front)
 	if o.Handler != nil {
@@ -336,7 +336,7 @@
 	c.Backend.Close()
 	c.stopAgent()
 	if c.peers != nil {
-		c.peers.close()
+		c.peers.Close()
 	}
 	c.release()
 	return err
@@ -422,7 +422,7 @@
 	}
 	c.stopAgent()
 	if c.peers != nil {
-		c.peers.close()
+		c.peers.Close()
 	}
 	c.release()
 }
--- a/controller/handover.go
+++ b/controller/handover.go
@@ -257,7 +257,7 @@
 	c.Backend.Close()
 	c.stopAgent()
 	if c.peers != nil {
-		c.peers.close()
+		c.peers.Close()
 	}
 	c.log.Info().Msg("handover: done")
 	close(c.over)
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -10,28 +10,38 @@
 	"kitehub/gateway"
 )
 
-// peers carries the module's words between controllers as datagrams: the sender's number, then up to 256 bytes. They
-// may be lost, as the module knows, and are taken only from the addresses that the configuration names.
-type peers struct {
-	conn *net.UDPConn
-	me   int
-	to   map[int]*net.UDPAddr
+// Peers carries the module's words between controllers as datagrams of up to 256 bytes, behind the sender's number where
+// there is room for it. They may be lost, as the module knows, and are taken only from the addresses that the
+// configuration names.
+type Peers struct {
+	conn   *net.UDPConn
+	me     int
+	to     map[int]*net.UDPAddr
+	number int // bytes of the sender's number in front: 4 or 0, where the address alone tells who it is
 }
 
 const mostWord = 256
 
-func newPeers(b *config.Built) (*peers, error) {
-	p := &peers{me: b.Settings.Me, to: map[int]*net.UDPAddr{}}
-	for n, addr := range b.Peers {
+func newPeers(b *config.Built) (*Peers, error) {
+	return ListenPeers(b.Settings.Me, b.Listen, b.Peers, true)
+}
+
+// ListenPeers sends and takes words at the address listen. numbered puts the sender's number in front of each.
+func ListenPeers(me int, listen string, addrs map[int]string, numbered bool) (*Peers, error) {
+	p := &Peers{me: me, to: map[int]*net.UDPAddr{}}
+	if numbered {
+		p.number = 4
+	}
+	for n, addr := range addrs {
 		a, err := net.ResolveUDPAddr("udp", addr)
 		if err != nil {
 			return nil, fmt.Errorf("peers: %w", err)
 		}
 		p.to[n] = a
 	}
-	own, err := net.ResolveUDPAddr("udp", b.Listen)
+	own, err := net.ResolveUDPAddr("udp", listen)
 	if err != nil {
-		return nil, fmt.Errorf("peers: words are sent from the number of webhook.listen: %w", err)
+		return nil, fmt.Errorf("peers: own address: %w", err)
 	}
 	if p.conn, err = net.ListenUDP("udp", own); err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
@@ -40,11 +50,15 @@
 }
 
 // Tell implements gateway.Peers.
-func (p *peers) Tell(to int, payload []byte) {
+func (p *Peers) Tell(to int, payload []byte) {
 	if len(payload) > mostWord {
 		return
 	}
-	b := append(binary.BigEndian.AppendUint32(nil, uint32(p.me)), payload...)
+	var b []byte
+	if p.number > 0 {
+		b = binary.BigEndian.AppendUint32(nil, uint32(p.me))
+	}
+	b = append(b, payload...)
 	for n, a := range p.to {
 		if n == to || to == choice.Everyone {
 			p.conn.WriteToUDP(b, a)
@@ -52,21 +66,37 @@
 	}
 }
 
-func (p *peers) receive(g *gateway.Gateway) {
-	buf := make([]byte, 4+mostWord+1)
+// Receive hands what comes to the gateway, until Close.
+func (p *Peers) Receive(g *gateway.Gateway) {
+	buf := make([]byte, p.number+mostWord+1)
 	for {
 		n, from, err := p.conn.ReadFromUDP(buf)
 		if err != nil {
 			return
 		}
-		if n < 4 || n > 4+mostWord {
+		if n < p.number || n > p.number+mostWord {
 			continue
 		}
-		who := int(binary.BigEndian.Uint32(buf))
-		if a := p.to[who]; a != nil && a.IP.Equal(from.IP) && a.Port == from.Port {
-			g.Message(who, append([]byte(nil), buf[4:n]...))
+		if who, ok := p.sender(buf, from); ok {
+			g.Message(who, append([]byte(nil), buf[p.number:n]...))
+		}
+	}
+}
+
+// sender tells whose datagram it is.
+func (p *Peers) sender(b []byte, from *net.UDPAddr) (who int, ok bool) {
+	is := func(a *net.UDPAddr) bool { return a != nil && a.IP.Equal(from.IP) && a.Port == from.Port }
+	if p.number > 0 {
+		who = int(binary.BigEndian.Uint32(b))
+		return who, is(p.to[who])
+	}
+	for n, a := range p.to {
+		if is(a) {
+			return n, true
 		}
 	}
+	return 0, false
 }
 
-func (p *peers) close() { p.conn.Close() }
+// Close ends both directions.
+func (p *Peers) Close() { p.conn.Close() }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,9 +29,10 @@
 	"kitehub/registry"
 )
 
-// A Carrier sends attempts, orders and questions to workers. backend.Backend is one.
+// A Carrier sends attempts, orders and questions to workers. backend.Backend and frame.Backend are. Send and Hold must
+// not wait for the network, and what they call back runs on another goroutine, once.
 type Carrier interface {
-	Send(backend.Attempt, func(backend.Result)) *backend.Running
+	Send(backend.Attempt, func(backend.Result)) backend.Running
 	Hold(backend.Order, func(choice.Outcome, int, time.Duration))
 	Unload(choice.WorkerID, string)
 	Probe(choice.WorkerID, func(choice.Outcome, time.Duration, []float64))
@@ -59,9 +60,12 @@
 	Peers    Peers
 	Versions Versions // nil: no call is Bound
 	Hooks    Hooks    // nil: none
-	Explain  int      // calls that are kept for Explain once they are answered; 0: none
-	Log      zerolog.Logger
-	Quiet    bool // no closing line for each request
+	// NameOf, where set, gives the name of a function by its number, which then needs not be made known: no table grows
+	// with the names that clients come up with.
+	NameOf  func(choice.FunctionID) string
+	Explain int // calls that are kept for Explain once they are answered; 0: none
+	Log     zerolog.Logger
+	Quiet   bool // no closing line for each request
 }
 
 // Versions is what the registry says of the versions of models.
@@ -194,7 +198,7 @@
 
 type try struct {
 	worker  string
-	run     *backend.Running
+	run     backend.Running
 	sent    time.Duration
 	outcome choice.Outcome
 	took    time.Duration
@@ -569,7 +573,8 @@
 		call.Progress(n, t.worker, !t.look.Warm)
 	}
 	r.out++
-	at := backend.Attempt{Worker: worker, Function: r.call.Function.Name, Trace: traceparent(r.call.Trace, g.rng.Uint64()),
+	at := backend.Attempt{Worker: worker, Call: call.ID, Class: g.cfg.Settings.Classes[call.Function.Class].Name,
+		Function: r.call.Function.Name, Trace: traceparent(r.call.Trace, g.rng.Uint64()),
 		Key: r.call.Key, Digest: r.call.Function.Digest, Body: r.call.Body, Within: a.Timeout, Wanted: func() bool { return r.claimed.Load() == 0 }}
 	t.run = g.cfg.Carrier.Send(at, func(res backend.Result) {
 		// A served answer goes out here, not a tick later: by this very event the module ends the request, and
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -33,11 +33,15 @@
 	log   []string
 }
 
-func (c *carrier) Send(a backend.Attempt, done func(backend.Result)) *backend.Running {
+type idle struct{}
+
+func (idle) Cancel() {}
+
+func (c *carrier) Send(a backend.Attempt, done func(backend.Result)) backend.Running {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sends, c.to = append(c.sends, done), append(c.to, a.Worker)
-	return &backend.Running{}
+	return idle{}
 }
 func (c *carrier) Hold(o backend.Order, done func(choice.Outcome, int, time.Duration)) {
 	c.note("hold %s %d", o.Function, o.Copies)
--- a/gateway/names.go
+++ b/gateway/names.go
@@ -95,6 +95,9 @@
 }
 
 func (g *Gateway) functionName(id choice.FunctionID) (name, digest string, ok bool) {
+	if g.cfg.NameOf != nil {
+		return g.cfg.NameOf(id), "", true
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	name, ok = g.names.functions[id]
--- /dev/null
+++ b/internal/outbox/outbox.go
@@ -0,0 +1,158 @@
+// Package outbox writes whole messages to a connection without making the sender wait, in order, each whole, with a
+// bound on what waits for a slow reader. It knows how many bytes the kernel has taken, which is what proves that a
+// message which was cut half-way never came whole to the other side.
+package outbox
+
+import (
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// An Outbox belongs to one connection. It is safe for concurrent use.
+type Outbox struct {
+	conn  net.Conn
+	raw   syscall.RawConn // nil: every write is left to the flusher
+	most  int             // bytes that may wait
+	stall time.Duration   // without progress, until the reader is given up
+
+	mu       sync.Mutex
+	waiting  []byte
+	spare    []byte
+	flushing bool
+	closed   bool
+	taken    uint64 // bytes that the kernel has taken
+	end      uint64 // bytes handed over
+}
+
+// New returns the outbox of a connection. At most so many bytes wait for a reader that is slow; one that takes none of
+// them for stall is closed.
+func New(c net.Conn, most int, stall time.Duration) *Outbox {
+	o := &Outbox{conn: c, most: most, stall: stall}
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			o.raw = raw
+		}
+	}
+	return o
+}
+
+// Send hands a message over. It returns the place of its last byte in the stream, for Whole, and false if the connection
+// is closed, or is closed now because too much waits. The message is copied if it cannot go out at once.
+func (o *Outbox) Send(b []byte) (end uint64, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.closed && o.flushing && len(o.waiting)+len(b) > o.most {
+		o.close()
+	}
+	if o.closed {
+		return o.end + uint64(max(1, len(b))), false // never whole
+	}
+	o.end += uint64(len(b))
+	if !o.flushing {
+		n := o.try(b)
+		if o.closed {
+			return o.end, false
+		}
+		b = b[n:]
+	}
+	if len(b) > 0 {
+		o.waiting = append(o.waiting, b...)
+		if !o.flushing {
+			o.flushing = true
+			go o.flush()
+		}
+	}
+	return o.end, true
+}
+
+// try writes what the kernel takes without waiting.
+func (o *Outbox) try(b []byte) (n int) {
+	if o.raw == nil {
+		return 0
+	}
+	err := o.raw.Write(func(fd uintptr) bool {
+		for n < len(b) {
+			m, err := syscall.Write(int(fd), b[n:])
+			if m > 0 {
+				n += m
+			}
+			switch {
+			case err == syscall.EINTR:
+				continue
+			case err == syscall.EAGAIN:
+				return true
+			case err != nil:
+				o.close()
+				return true
+			}
+		}
+		return true
+	})
+	o.taken += uint64(n)
+	if err != nil {
+		o.close()
+	}
+	return n
+}
+
+func (o *Outbox) flush() {
+	for {
+		o.mu.Lock()
+		if len(o.waiting) == 0 || o.closed {
+			o.flushing, o.waiting, o.spare = false, nil, nil
+			o.mu.Unlock()
+			return
+		}
+		b := o.waiting
+		o.waiting = o.spare[:0]
+		o.mu.Unlock()
+		for len(b) > 0 { // any progress earns the reader more time
+			o.conn.SetWriteDeadline(time.Now().Add(o.stall))
+			n, err := o.conn.Write(b[:min(len(b), 1<<14)])
+			o.mu.Lock()
+			o.taken += uint64(n)
+			if err != nil && !(n > 0 && os.IsTimeout(err)) {
+				o.close()
+			}
+			closed := o.closed
+			o.mu.Unlock()
+			if closed {
+				break
+			}
+			b = b[n:]
+		}
+		o.spare = b[:0]
+	}
+}
+
+func (o *Outbox) close() {
+	if !o.closed {
+		o.closed = true
+		o.conn.Close()
+	}
+}
+
+// Close closes the connection. What waits is dropped.
+func (o *Outbox) Close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.close()
+}
+
+// Busy tells whether anything waits for the reader.
+func (o *Outbox) Busy() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.flushing
+}
+
+// Whole tells whether the kernel has taken all bytes up to end. If not, and the connection is closed, the message that
+// ends there cannot have come whole to the other side.
+func (o *Outbox) Whole(end uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.taken >= end
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -121,12 +121,13 @@
 		"errors_per_s": choice.FieldErrorRate, "x0": choice.FieldX0, "x1": choice.FieldX1}
 )
 
-// ParseSettings reads the settings text of a Provision. A word it does not know becomes the zero value,
-// which the module rejects where it must know.
+// ParseSettings reads the settings of a controller: the text of a Provision on the simulator's wire, or the object
+// "settings" of a platform's configuration. A word it does not know becomes the zero value, which the module rejects where
+// it must know.
 func ParseSettings(text []byte) (choice.Settings, error) {
 	var e env
 	if err := json.Unmarshal(text, &e); err != nil {
-		return choice.Settings{}, fmt.Errorf("PROVISION: settings: %w", err)
+		return choice.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	s := choice.Settings{
 		Me: e.Me, Controllers: e.Balancers, Zone: e.Zone, Zones: e.Localities, Tier: e.Tier, Tiers: e.Tiers,
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,215 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kitehub/backend"
+	"kitehub/backend/frame"
+	"kitehub/choice"
+	"kitehub/controller"
+	"kitehub/discovery/dns"
+	"kitehub/front/msgpackrpc"
+	"kitehub/gateway"
+	"kitehub/internal/clock"
+)
+
+// Bounds of the platform's protocol: its PROTOCOL page.
+const (
+	mostBody = 16 << 10 // bytes of a client's body
+	mostOpen = 32       // requests open on one connection
+	service  = "_app._tcp.cluster.lan"
+)
+
+// Options are what a configuration does not say. Rigs set Dial and Clock.
+type Options struct {
+	Clock clock.Clock
+	Log   zerolog.Logger
+	Dial  backend.DialFunc // to workers; nil: the machine's
+}
+
+// A Relay runs until Stop.
+type Relay struct {
+	Gateway *gateway.Gateway
+	Front   *msgpackrpc.Front
+	Backend *frame.Backend
+	Watch   *dns.Watcher
+	cfg     *Config
+	log     zerolog.Logger
+	ln      net.Listener
+	peers   *controller.Peers
+	done    chan struct{}
+}
+
+// Start runs a controller. Its listener is open and its list known when it returns.
+func Start(c *Config, o Options) (r *Relay, err error) {
+	s, b := c.Settings, divide(c.Limits)
+	r = &Relay{cfg: c, log: o.Log, done: make(chan struct{})}
+	r.Backend = frame.New(frame.Config{Clock: o.Clock, Dial: o.Dial, Within: s.Limits.Dial, Idle: s.Limits.KeepAlive, Streams: s.Limits.Streams,
+		Conns: b.workers, MostBody: b.mostBody, Patience: s.Limits.Dial, Forget: time.Duration(lateAnswer * float64(longest(s))),
+		Order: s.Loading.Answer, Report: s.Report, Log: o.Log})
+	defer func() {
+		if err != nil {
+			r.Backend.Close()
+			if r.peers != nil {
+				r.peers.Close()
+			}
+		}
+	}()
+	gc := gateway.Config{Name: c.Name, Settings: s, Seed: c.Seed, Clock: o.Clock, Carrier: r.Backend, NameOf: msgpackrpc.Item, Log: o.Log, Quiet: true}
+	if s.Limits.Peers && len(c.Peers) > 0 {
+		if r.peers, err = controller.ListenPeers(s.Me, c.PeerListen, c.Peers, false); err != nil {
+			return nil, &Problem{"peer_listen", err}
+		}
+		gc.Peers = r.peers
+	}
+	if r.Gateway, err = gateway.New(gc); err != nil {
+		return nil, &Problem{"settings", err}
+	}
+	if err = r.Gateway.Workers(choice.Cached, c.Serial, c.Known); err != nil {
+		return nil, &Problem{"known", err}
+	}
+	r.Front = msgpackrpc.New(msgpackrpc.Config{Gateway: r.Gateway, Clock: o.Clock, Settings: s, Log: o.Log, MostBody: mostBody, MostOpen: mostOpen,
+		Conns: b.clients, Within: dials(s, speakDials), Stall: dials(s, stallDials)})
+	if r.ln, err = net.Listen("tcp", c.Listen); err != nil {
+		return nil, &Problem{EnvListen, err}
+	}
+	if r.Watch, err = dns.Start(dns.Config{Service: service, Server: c.Names, Serial: c.Serial, Sink: r.Gateway, Log: o.Log,
+		Period: time.Duration(pollPart * float64(s.Guarantees.DrainGrace))}); err != nil {
+		r.ln.Close()
+		return nil, &Problem{"names", err}
+	}
+	go r.Gateway.Run()
+	if r.peers != nil {
+		go r.peers.Receive(r.Gateway)
+	}
+	go func() {
+		if err := r.Front.Serve(r.ln); err != nil {
+			r.log.Error().Err(err).Msg("listener")
+		}
+	}()
+	go r.report()
+	return r, nil
+}
+
+// Addr returns where clients connect.
+func (r *Relay) Addr() string { return r.ln.Addr().String() }
+
+// Reload takes from a configuration read anew what may change in service: where the directory is.
+func (r *Relay) Reload(c *Config) {
+	r.log.Info().Str("names", c.Names).Msg("configuration read anew")
+	r.Watch.Turn(c.Names)
+}
+
+// Stop goes on taking requests for as long as the platform may still send any, answers all, and ends.
+func (r *Relay) Stop(linger time.Duration) {
+	r.Front.Drain()
+	time.Sleep(linger)
+	r.Gateway.Stop(longest(r.cfg.Settings))
+	r.ln.Close()
+	r.Front.Close()
+	r.Watch.Stop()
+	r.Backend.Close()
+	if r.peers != nil {
+		r.peers.Close()
+	}
+	close(r.done)
+}
+
+const reportEvery = 5 * time.Second
+
+// report logs what was done, now and then.
+func (r *Relay) report() {
+	t := time.NewTicker(reportEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-r.done:
+			return
+		case <-t.C:
+		}
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		g, f, b, w := &r.Gateway.Counts, &r.Front.Counts, &r.Backend.Counts, &r.Watch.Counts
+		r.log.Info().Int64("served", g.Served.Load()).Int64("refused", g.Refused.Load()).Int64("failed", g.Failed.Load()).
+			Int64("gone", g.Gone.Load()).Int64("turned", g.Turned.Load()).Int("open", r.Gateway.Open()).Int64("crashes", g.Crashes.Load()).
+			Int64("steps", g.Steps.Load()).Int64("step_us", g.StepNanos.Load()/1000).Int64("late_us", g.LateNanos.Load()/1000).
+			Int("clients", r.Front.Conns()).Int64("accepted", f.Accepted.Load()).Int64("evicted", f.Evicted.Load()).Int64("shut", f.Shut.Load()).
+			Int64("requests", f.Requests.Load()).Int64("invalid", f.Invalid.Load()).Int64("over", f.Over.Load()).Int64("broken", f.Broken.Load()).
+			Int64("withdrawn", f.Withdrawn.Load()).
+			Int64("opened", b.Opened.Load()).Int64("dial_failed", b.DialFailed.Load()).Int64("noise", b.Broken.Load()).Int64("strays", b.Strays.Load()).
+			Int64("pings", b.Pings.Load()).Int64("dead", b.Dead.Load()).Int64("no_place", b.NoPlace.Load()).
+			Int64("asked", w.Asked.Load()).Int64("lists", w.News.Load()).Int64("unfit", w.Unfit.Load()).Int64("silent", w.Silent.Load()).
+			Uint64("heap_kb", m.HeapInuse>>10).Uint64("sys_kb", m.Sys>>10).Uint32("gc", m.NumGC).Int("goroutines", runtime.NumGoroutine()).Msg("so far")
+	}
+}
+
+// apply enforces the limits on this process.
+func apply(l Limits) {
+	b := divide(l)
+	runtime.GOMAXPROCS(b.procs)
+	debug.SetMemoryLimit(b.heap)
+	var cur syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &cur) == nil && cur.Cur != uint64(l.Sockets) && uint64(l.Sockets) <= cur.Max {
+		cur.Cur = uint64(l.Sockets)
+		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &cur) // the descriptors are budgeted anyway
+	}
+}
+
+// Run is the whole life of a controller: until a signal ends it. SIGHUP reads the configuration again.
+func Run(env func(string) string, log zerolog.Logger, signals <-chan os.Signal) error {
+	c, err := Load(env)
+	if err != nil {
+		return err
+	}
+	apply(c.Limits)
+	log = log.With().Str("controller", c.Name).Logger()
+	r, err := Start(c, Options{Clock: clock.System(), Log: log})
+	if err != nil {
+		return err
+	}
+	log.Info().Str("listen", r.Addr()).Int("workers", len(c.Known)).Float64("cores", c.Limits.Cores).Float64("memory_mb", c.Limits.MemoryMB).
+		Int("sockets", c.Limits.Sockets).Msg("serving")
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			log.Info().Str("signal", sig.String()).Msg("stopping")
+			break
+		}
+		next, err := Load(env)
+		if err != nil {
+			log.Error().Err(err).Msg("the new configuration is not taken, the old one stays")
+			continue
+		}
+		r.Reload(next)
+	}
+	ended := make(chan struct{})
+	go func() {
+		r.Stop(lingering)
+		close(ended)
+	}()
+	for {
+		select {
+		case <-ended:
+			log.Info().Msg("stopped")
+			return nil
+		case sig, ok := <-signals:
+			if ok && sig != syscall.SIGHUP {
+				return fmt.Errorf("relay: ended by a second %s with %d requests open", sig, r.Gateway.Open())
+			}
+		}
+	}
+}
+
+// IsProblem tells whether an error is one of configuration.
+func IsProblem(err error) bool {
+	var p *Problem
+	return errors.As(err, &p)
+}
