A write that meets a reset connection no longer waits for itself; tests of the relay

Logs: on the controllers at fault 'steps', 'pings' and 'opened' stand still from one report to the next while 'requests' and 'open' grow, CPU near nothing: the loop hangs, with the frames' watch. Ruled out: a busy module (step_us stands still too), no connections (no_place and dial_failed do not grow), the directory (asked grows). Lines at fault: outbox.try closed the connection inside RawConn.Write; closing waits until nobody uses the descriptor, that write included. A test sends to a connection that was reset: it hung without the change. Also: - a front with no seat left gives who has just come the time to speak before it is closed (victim's grace): with hostile clients beside, 17 of 100 good ones were closed in the test, none now; - the reason of a relay that does not start was lost, as closing the log closed standard error.

--- a/cmd/kitehub/serve.go
+++ b/cmd/kitehub/serve.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -30,7 +31,8 @@
 
 // lossyLog writes to standard error. The loop must not wait for whoever reads the log: lines are dropped before that.
 func lossyLog() diode.Writer {
-	return diode.NewWriter(os.Stderr, logLines, 5*time.Millisecond, func(missed int) {
+	// Closing a diode closes what it writes to, and the reason of the end is still to be printed there.
+	return diode.NewWriter(struct{ io.Writer }{os.Stderr}, logLines, 5*time.Millisecond, func(missed int) {
 		fmt.Fprintf(os.Stderr, `{"level":"warn","missed":%d,"message":"log lines dropped: standard error is slow"}`+"\n", missed)
 	})
 }
--- a/front/msgpackrpc/front.go
+++ b/front/msgpackrpc/front.go
@@ -46,7 +46,7 @@
 
 // Counts are for the log and for tests.
 type Counts struct {
-	Accepted, Evicted, Shut, Requests, Invalid, Over, Broken, Withdrawn atomic.Int64
+	Accepted, Evicted, Turned, Shut, Requests, Invalid, Over, Broken, Withdrawn atomic.Int64
 }
 
 // A Front serves clients until Close.
@@ -108,35 +108,52 @@
 // start makes room for a connection, if need be, and serves it.
 func (f *Front) start(nc net.Conn) {
 	c := &conn{f: f, Conn: nc, out: outbox.New(nc, f.mostWaiting(), f.cfg.Stall), open: map[uint32]*openCall{}}
-	c.since.Store(int64(f.cfg.Clock.Now()))
-	f.mu.Lock()
-	if f.closed {
-		f.mu.Unlock()
+	c.touch()
+	old, ok := f.seat(c)
+	for ok && old == c { // nobody may be closed yet: the next to connect wait in the kernel's queue meanwhile
+		time.Sleep(f.cfg.Settings.Tick)
+		old, ok = f.seat(c)
+	}
+	if !ok {
 		nc.Close()
 		return
 	}
-	var old *conn
+	if old != nil {
+		old.out.Close()
+	}
+	go c.serve()
+}
+
+// gracePart of the time within which a client must speak is left to each that has just come or spoken.
+const gracePart = 16
+
+// seat gives a new connection a place. It returns who has to go for it, the new one itself if somebody may have to a
+// little later, and false if there is no place.
+func (f *Front) seat(c *conn) (old *conn, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return nil, false
+	}
 	if len(f.conns) >= f.cfg.Conns {
 		list, seats := make([]*conn, 0, len(f.conns)), make([]seat, 0, len(f.conns))
 		for o := range f.conns {
 			list, seats = append(list, o), append(seats, o.seat())
 		}
-		i := victim(seats)
-		f.Counts.Evicted.Add(1)
-		if i < 0 {
-			f.mu.Unlock()
-			nc.Close()
-			return
+		switch i := victim(seats, f.cfg.Clock.Now(), f.cfg.Within/gracePart); i {
+		case noVictim:
+			f.Counts.Turned.Add(1)
+			return nil, false
+		case soonVictim:
+			return c, true
+		default:
+			f.Counts.Evicted.Add(1)
+			old = list[i]
+			delete(f.conns, old)
 		}
-		old = list[i]
-		delete(f.conns, old)
 	}
 	f.conns[c] = struct{}{}
-	f.mu.Unlock()
-	if old != nil {
-		old.out.Close()
-	}
-	go c.serve()
+	return old, true
 }
 
 // mostWaiting bounds what waits for one slow reader: an answer for each request it may have open.
@@ -240,6 +257,9 @@
 	return seat{spoke: c.spoke.Load(), open: n, since: time.Duration(c.since.Load())}
 }
 
+// touch notes a sign of life.
+func (c *conn) touch() { c.since.Store(int64(c.f.cfg.Clock.Now())) }
+
 const readBuffer = 2 << 10 // requests are mostly shorter; a body is read past it
 
 // serve reads messages until the connection ends.
@@ -251,10 +271,10 @@
 		if _, err := d.r.Peek(1); err != nil {
 			return
 		}
-		c.since.Store(int64(c.f.cfg.Clock.Now()))
+		c.touch()
 		c.inMessage.Store(true)
 		err := d.next(&m)
-		c.since.Store(int64(c.f.cfg.Clock.Now()))
+		c.touch()
 		if err != nil {
 			if errors.Is(err, errFrame) {
 				c.f.Counts.Broken.Add(1)
@@ -363,7 +383,7 @@
 		return
 	}
 	c.f.end(o.txn)
-	c.since.Store(int64(c.f.cfg.Clock.Now()))
+	c.touch()
 	var b []byte
 	switch a.Kind {
 	case gateway.Served:
--- /dev/null
+++ b/front/msgpackrpc/front_test.go
@@ -0,0 +1,431 @@
+package msgpackrpc
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"kitehub/choice"
+	"kitehub/gateway"
+	"kitehub/internal/clock"
+)
+
+// taker is a gateway that leaves the answers to the test.
+type taker struct {
+	mu    sync.Mutex
+	calls map[choice.RequestID]*gateway.Call
+	gone  []choice.RequestID
+	next  choice.RequestID
+	full  bool
+	came  chan *gateway.Call
+	left  chan choice.RequestID
+}
+
+func newTaker() *taker {
+	return &taker{calls: map[choice.RequestID]*gateway.Call{}, came: make(chan *gateway.Call, 1000), left: make(chan choice.RequestID, 1000)}
+}
+
+func (g *taker) Submit(c *gateway.Call) (choice.RequestID, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.full {
+		return 0, false
+	}
+	g.next++
+	g.calls[g.next] = c
+	g.came <- c
+	return g.next, true
+}
+
+func (g *taker) HangUp(id choice.RequestID) { g.left <- id }
+
+func settings() choice.Settings {
+	s := choice.Settings{Classes: []choice.Class{{Name: "lookup", Effect: choice.Safe, Deadline: 4 * time.Second},
+		{Name: "update", Effect: choice.Keyed, Deadline: 4 * time.Second}, {Name: "status", Effect: choice.Safe, Deadline: time.Second}},
+		Tenants: []choice.Tenant{{Name: "acme"}}, Tick: time.Millisecond}
+	return s
+}
+
+type rig struct {
+	*Front
+	g    *taker
+	addr string
+}
+
+// serve starts a front; change may alter its settings first.
+func serve(t *testing.T, change func(*Config)) *rig {
+	t.Helper()
+	g := newTaker()
+	cfg := Config{Gateway: g, Clock: clock.System(), Settings: settings(), Log: zerolog.Nop(), MostBody: 16 << 10, MostOpen: 32, Conns: 100,
+		Within: time.Minute, Stall: time.Minute}
+	if change != nil {
+		change(&cfg)
+	}
+	f := New(cfg)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Serve(ln)
+	}()
+	t.Cleanup(func() { ln.Close(); f.Close(); <-done })
+	return &rig{f, g, ln.Addr().String()}
+}
+
+type client struct {
+	net.Conn
+	t   *testing.T
+	dec *msgpack.Decoder
+}
+
+func (r *rig) dial(t *testing.T) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(20 * time.Second)) // a test that hangs ends
+	t.Cleanup(func() { c.Close() })
+	return &client{c, t, msgpack.NewDecoder(c)}
+}
+
+func (c *client) put(b ...[]byte) { c.Write(bytes.Join(b, nil)) }
+
+// answer reads one answer and names it: "served BODY", the error's word, or "closed".
+func (c *client) answer() (id int64, what string) {
+	c.t.Helper()
+	var v []any
+	if err := c.dec.Decode(&v); err != nil {
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			c.t.Fatal("neither an answer nor a close")
+		}
+		return -1, "closed"
+	}
+	id = number(v[1])
+	if v[2] != nil {
+		return id, v[2].([]any)[0].(string)
+	}
+	return id, fmt.Sprintf("served %s", v[3].([]any)[0])
+}
+
+func number(v any) int64 {
+	var n int64
+	fmt.Sscan(fmt.Sprint(v), &n)
+	return n
+}
+
+func txn(i int) string { return fmt.Sprintf("%016x", i) }
+
+// with returns good fields with some changed; "" takes one away.
+func with(pairs ...string) map[string]string {
+	m := good()
+	for i := 0; i < len(pairs); i += 2 {
+		if m[pairs[i]] = pairs[i+1]; pairs[i+1] == "" {
+			delete(m, pairs[i])
+		}
+	}
+	return m
+}
+
+func TestBadRequests(t *testing.T) {
+	r := serve(t, nil)
+	tests := []struct {
+		name, method string
+		fields       map[string]string
+		taken        bool
+	}{
+		{"good", "lookup", good(), true},
+		{"keyed", "update", good(), true},
+		{"half a millisecond", "lookup", with("limit", "0.5"), true},
+		{"no figures", "lookup", with("attrs", ""), true},
+		{"an unknown figure", "lookup", with("attrs", "colour:3"), true},
+		{"unknown class", "nonesuch", good(), false},
+		{"a class named like a control method", "withdraw", good(), false},
+		{"unknown tenant", "lookup", with("team", "nobody"), false},
+		{"no tenant", "lookup", with("team", ""), false},
+		{"no txn", "lookup", with("txn", ""), false},
+		{"txn in capitals", "lookup", with("txn", "9B1F03AA5C7E2D41"), false},
+		{"txn too short", "lookup", with("txn", "9b1f"), false},
+		{"no item", "lookup", with("item", ""), false},
+		{"an item that would break a frame", "lookup", with("item", "7f3a9c21e0b4d,k=1"), false},
+		{"no limit", "lookup", with("limit", ""), false},
+		{"limit 0", "lookup", with("limit", "0"), false},
+		{"a negative limit", "lookup", with("limit", "-5"), false},
+		{"a huge limit", "lookup", with("limit", "99999999999999999999"), false},
+		{"a limit past any client's patience", "lookup", with("limit", "8001"), false},
+		{"limit NaN", "lookup", with("limit", "NaN"), false},
+		{"a limit that is no number", "lookup", with("limit", "soon"), false},
+		{"a key that would break a frame", "update", with("unique", "a,b=c"), false},
+		{"no key", "update", with("unique", ""), false},
+		{"memory that is no number", "lookup", with("attrs", "memory_mb:lots"), false},
+		{"negative lanes", "lookup", with("attrs", "lanes:-1"), false},
+		{"infinite memory", "lookup", with("attrs", "memory_mb:Inf"), false},
+		{"memory out of range", "lookup", with("attrs", "memory_mb:1e300"), false},
+		{"figures without numbers", "lookup", with("attrs", ";;"), false},
+	}
+	for i, tt := range tests {
+		c := r.dial(t)
+		c.put(request(t, i+1, tt.method, tt.fields, []byte("x")))
+		if tt.taken {
+			call := <-r.g.came
+			call.Deliver(gateway.Answer{Kind: gateway.Served, Body: []byte("y")})
+		}
+		want := "Invalid"
+		if tt.taken {
+			want = "served y"
+		}
+		if id, got := c.answer(); got != want || id != int64(i+1) {
+			t.Errorf("%s: %q under %d, want %q under %d", tt.name, got, id, want, i+1)
+		}
+		if len(r.g.came) > 0 {
+			t.Fatalf("%s: it came to the gateway", tt.name)
+		}
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	r := serve(t, func(c *Config) { c.Settings.Limits.RetryAfter = true })
+	c := r.dial(t)
+	call := func(i int) *gateway.Call {
+		c.put(request(t, i, "lookup", with("txn", txn(i)), []byte("x")))
+		return <-r.g.came
+	}
+	a, b, d := call(1), call(2), call(3)
+	if a.Expires != 1500*time.Millisecond || a.Function.Lanes != 2 || a.Function.MemoryMB != 512 || a.Function.LoadTime != 640*time.Millisecond ||
+		Item(a.Function.ID) != a.Function.Name {
+		t.Errorf("call %+v of %+v", a, a.Function)
+	}
+	d.Deliver(gateway.Answer{Kind: gateway.Failed})
+	b.Deliver(gateway.Answer{Kind: gateway.Refused, After: 70 * time.Millisecond})
+	a.Deliver(gateway.Answer{Kind: gateway.Served, Body: []byte("one")})
+	a.Deliver(gateway.Answer{Kind: gateway.Served, Body: []byte("two")}) // never a second one
+	for _, want := range []string{"3 Failed", "2 Rejected", "1 served one"} {
+		if id, got := c.answer(); fmt.Sprint(id, " ", got) != want {
+			t.Errorf("answer %d %s, want %s", id, got, want)
+		}
+	}
+	c.put(request(t, 4, "status", map[string]string{}))
+	if id, got := c.answer(); id != 4 || got != "served %!s(bool=true)" {
+		t.Errorf("status: %d %s", id, got)
+	}
+	r.Drain()
+	c.put(request(t, 5, "status", map[string]string{}))
+	if _, got := c.answer(); got != "served %!s(bool=false)" {
+		t.Errorf("status while draining: %s", got)
+	}
+	r.g.full = true
+	c.put(request(t, 6, "lookup", with("txn", txn(6)), []byte("x")))
+	if _, got := c.answer(); got != "Rejected" {
+		t.Errorf("a gateway that is full: %s", got)
+	}
+}
+
+func TestWithdraw(t *testing.T) {
+	r := serve(t, nil)
+	c := r.dial(t)
+	// Two messages and a half in one segment, the rest later.
+	second := request(t, 2, "lookup", with("txn", txn(2)), []byte("x"))
+	c.put(request(t, 1, "lookup", with("txn", txn(1)), []byte("x")), pack(t, []any{2, "withdraw", []any{1, 99}}), second[:20])
+	call := <-r.g.came
+	if id := <-r.g.left; id != 1 {
+		t.Errorf("request %d is taken back, want 1", id)
+	}
+	call.Deliver(gateway.Answer{Kind: gateway.Served, Body: []byte("late")}) // crosses: no answer is owed, none is sent
+	c.put(second[20:])
+	(<-r.g.came).Deliver(gateway.Answer{Kind: gateway.Served, Body: []byte("two")})
+	if id, got := c.answer(); id != 2 || got != "served two" {
+		t.Errorf("%d %s, want the answer of 2 alone", id, got)
+	}
+	c.put(pack(t, []any{2, "withdraw", []any{2}}), request(t, 3, "status", map[string]string{}))
+	if id, _ := c.answer(); id != 3 {
+		t.Errorf("answer to %d", id)
+	}
+	// A number is free again once its request is over, and so is a txn.
+	c.put(request(t, 1, "lookup", with("txn", txn(1)), []byte("x")))
+	(<-r.g.came).Deliver(gateway.Answer{Kind: gateway.Refused})
+	if id, got := c.answer(); id != 1 || got != "Rejected" {
+		t.Errorf("%d %s", id, got)
+	}
+}
+
+func TestTwice(t *testing.T) {
+	r := serve(t, nil)
+	c, other := r.dial(t), r.dial(t)
+	c.put(request(t, 1, "lookup", good(), []byte("x")))
+	call := <-r.g.came
+	other.put(request(t, 1, "lookup", good(), []byte("another body")))
+	if _, got := other.answer(); got != "Invalid" {
+		t.Errorf("the id of an open request: %s", got)
+	}
+	call.Deliver(gateway.Answer{Kind: gateway.Served, Body: []byte("mine")})
+	if _, got := c.answer(); got != "served mine" {
+		t.Errorf("whose id was used by another: %s", got)
+	}
+	c.put(request(t, 2, "lookup", with("txn", txn(2)), []byte("x")), request(t, 2, "lookup", with("txn", txn(3)), []byte("x")))
+	<-r.g.came
+	if _, got := c.answer(); got != "closed" {
+		t.Errorf("two requests under one number: %s, want a close", got)
+	}
+	if id := <-r.g.left; id != 2 {
+		t.Errorf("request %d is taken back, want 2", id)
+	}
+}
+
+func TestCloseWithManyOpen(t *testing.T) {
+	r := serve(t, nil)
+	c := r.dial(t)
+	for i := range 40 {
+		c.put(request(t, i, "lookup", with("txn", txn(i)), []byte("x")))
+	}
+	for range 8 {
+		if id, got := c.answer(); got != "Rejected" || id < 32 {
+			t.Fatalf("%d %s, want the ninth and later over 32 turned away", id, got)
+		}
+	}
+	c.Close()
+	seen := map[choice.RequestID]bool{}
+	for range 32 {
+		seen[<-r.g.left] = true
+	}
+	if len(seen) != 32 || len(r.g.came) != 32 {
+		t.Errorf("%d taken back of %d", len(seen), len(r.g.came))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.txns) != 0 {
+		t.Errorf("%d ids stay open", len(r.txns))
+	}
+}
+
+// TestHostileBesideGood: whatever some clients send at full speed, good ones have all calls answered.
+func TestHostileBesideGood(t *testing.T) {
+	r := serve(t, func(c *Config) { c.Within, c.Conns = 200*time.Millisecond, 30 })
+	hostile := map[string][]byte{
+		"noise":          bytes.Repeat([]byte{0xc1, 0x00, 0xff, 0x93}, 1000),
+		"a huge body":    append(request(t, 1, "lookup", good(), []byte{})[:len(request(t, 1, "lookup", good(), []byte{}))-2], append([]byte{0xc6, 3, 0x93, 0x87, 0}, make([]byte, 1<<20)...)...),
+		"without end":    append([]byte{0x94, 0, 1, 0xa4}, append([]byte("call\x91\xdc\xff\xff"), bytes.Repeat([]byte{0x01}, 1<<20)...)...),
+		"half a request": request(t, 1, "lookup", good(), []byte("x"))[:40],
+		"nothing":        nil,
+		"wrong words":    bytes.Repeat(request(t, 1, "nonesuch", good(), []byte("x")), 200),
+		"status only":    append(bytes.Repeat(request(t, 1, "status", map[string]string{}), 50), 0xc1),
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	go func() {
+		for c := range r.g.came {
+			c.Deliver(gateway.Answer{Kind: gateway.Served, Body: c.Body})
+		}
+	}()
+	for _, b := range hostile {
+		for range 6 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					c, err := net.Dial("tcp", r.addr)
+					if err != nil {
+						continue
+					}
+					c.SetDeadline(time.Now().Add(20 * time.Second))
+					go c.Write(b)
+					if _, err := io.Copy(io.Discard, c); err != nil { // until it is closed
+						var timeout net.Error
+						if errors.As(err, &timeout) && timeout.Timeout() {
+							t.Errorf("%.40q: left with no close", b)
+						}
+					}
+					c.Close()
+				}
+			}()
+		}
+	}
+	body := strings.Repeat("b", 16<<10)
+	for i := range 100 {
+		c := r.dial(t)
+		c.put(request(t, 1, "lookup", with("txn", txn(1000+i)), []byte(body)))
+		if id, got := c.answer(); id != 1 || got != "served "+body {
+			t.Errorf("good client %d: %.40s", i, got)
+		}
+		c.Close()
+	}
+	close(stop)
+	wg.Wait()
+}
+
+func TestNeverReads(t *testing.T) {
+	r := serve(t, func(c *Config) { c.Stall = 50 * time.Millisecond })
+	c := r.dial(t)
+	c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	go func() {
+		for c := range r.g.came {
+			c.Deliver(gateway.Answer{Kind: gateway.Served, Body: make([]byte, 1<<20)})
+		}
+	}()
+	for i := range 60 {
+		if _, err := c.Write(request(t, i, "lookup", with("txn", txn(i)), []byte("x"))); err != nil {
+			break
+		}
+	}
+	for r.Conns() > 0 { // ends when the connection is given up; the test's own time-out otherwise
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestVictim(t *testing.T) {
+	tests := []struct {
+		name  string
+		seats []seat
+		want  int
+	}{
+		{"none", nil, noVictim},
+		{"all have something open", []seat{{true, 1, 1}, {true, 2, 0}}, noVictim},
+		{"who never spoke goes first", []seat{{true, 0, 1}, {false, 0, 9}, {false, 0, 8}, {true, 0, 0}}, 2},
+		{"who has been idle longest", []seat{{true, 0, 5}, {true, 0, 3}, {true, 1, 1}}, 1},
+		{"who has just come is left the time to speak", []seat{{false, 0, 96}, {true, 0, 3}}, 1},
+		{"all have just come", []seat{{false, 0, 96}, {true, 1, 3}}, soonVictim},
+	}
+	for _, tt := range tests {
+		if got := victim(tt.seats, 100, 10); got != tt.want {
+			t.Errorf("%s: %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestShut(t *testing.T) {
+	const within = time.Second
+	tests := []struct {
+		name      string
+		s         seat
+		inMessage bool
+		now       time.Duration
+		want      bool
+	}{
+		{"just came", seat{since: 10}, false, 10 + within, false},
+		{"never spoke", seat{since: 10}, false, 11 + within, true},
+		{"idle after an answer", seat{spoke: true, since: 10}, false, 100 * within, false},
+		{"half a message", seat{spoke: true, since: 10}, true, 11 + within, true},
+	}
+	for _, tt := range tests {
+		if got := shut(tt.s, tt.inMessage, tt.now, within); got != tt.want {
+			t.Errorf("%s: %v", tt.name, got)
+		}
+	}
+}
--- a/front/msgpackrpc/limits.go
+++ b/front/msgpackrpc/limits.go
@@ -9,14 +9,25 @@
 	since time.Duration // when it last had something to say, or was accepted
 }
 
-// victim returns which connection to close so that a new one has a place, or -1 for none. One that never spoke goes
-// before any that did, the one silent longest first; one with a request open is never closed for another's sake.
+// What victim finds where there is nobody to close.
+const (
+	noVictim   = -1 // all have a request open
+	soonVictim = -2 // who has none may just be about to say something
+)
+
+// victim returns which connection to close so that a new one has a place. One that never spoke goes before any that did,
+// the one silent longest first; one with a request open is never closed for another's sake, nor one that has been silent
+// for less than grace: where many connect and say nothing, those that have something to say need the time to say it.
 // Clients close what is idle by themselves, so whoever has been idle longest loses least.
-func victim(l []seat) int {
-	best := -1
+func victim(l []seat, now, grace time.Duration) int {
+	best := noVictim
 	for i, s := range l {
 		switch {
 		case s.open > 0:
+		case now-s.since < grace:
+			if best == noVictim {
+				best = soonVictim
+			}
 		case best < 0, !s.spoke && l[best].spoke, s.spoke == l[best].spoke && s.since < l[best].since:
 			best = i
 		}
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -73,6 +73,7 @@
 	if o.raw == nil {
 		return 0
 	}
+	var failed error
 	err := o.raw.Write(func(fd uintptr) bool {
 		for n < len(b) {
 			m, err := syscall.Write(int(fd), b[n:])
@@ -85,14 +86,14 @@
 			case err == syscall.EAGAIN:
 				return true
 			case err != nil:
-				o.close()
+				failed = err // to close here would wait for this very call to end
 				return true
 			}
 		}
 		return true
 	})
 	o.taken += uint64(n)
-	if err != nil {
+	if err != nil || failed != nil {
 		o.close()
 	}
 	return n
--- /dev/null
+++ b/internal/outbox/outbox_test.go
@@ -0,0 +1,115 @@
+package outbox
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// pair returns both ends of a connection on loopback, with small buffers.
+func pair(t *testing.T) (ours, theirs *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ours, theirs = c.(*net.TCPConn), s.(*net.TCPConn)
+	ours.SetWriteBuffer(4 << 10)
+	t.Cleanup(func() { ours.Close(); theirs.Close() })
+	return ours, theirs
+}
+
+func TestOrderAndWhole(t *testing.T) {
+	ours, theirs := pair(t)
+	const size, messages = 5000, 400
+	o := New(ours, size*messages, time.Minute)
+	var want bytes.Buffer
+	var last uint64
+	for i := range messages {
+		m := bytes.Repeat([]byte{byte(i)}, size)
+		want.Write(m)
+		end, ok := o.Send(m)
+		if !ok || end != uint64(want.Len()) {
+			t.Fatalf("message %d: end %d, %v, want %d", i, end, ok, want.Len())
+		}
+		last = end
+	}
+	if !o.Busy() || o.Whole(last) {
+		t.Fatalf("2 MB went out to a reader that reads nothing: busy %v, whole %v", o.Busy(), o.Whole(last))
+	}
+	got := make([]byte, want.Len())
+	if _, err := io.ReadFull(theirs, got); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got, want.Bytes()) {
+		t.Error("the messages came in another order, or torn")
+	}
+	if !o.Whole(last) {
+		t.Error("all was read, and the last message is not whole")
+	}
+}
+
+func TestSlowReader(t *testing.T) {
+	tests := []struct {
+		name  string
+		most  int
+		stall time.Duration
+	}{
+		{"too much waits", 64 << 10, time.Minute},
+		{"no progress", 1 << 30, 20 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		ours, _ := pair(t)
+		o := New(ours, tt.most, tt.stall)
+		m := make([]byte, 32<<10)
+		var end uint64
+		ok := true
+		for i := 0; ok && i < 4000; i++ { // 128 MB at most, were it not closed
+			end, ok = o.Send(m)
+			if tt.most == 1<<30 && i > 200 {
+				time.Sleep(time.Millisecond) // no verdict hangs on it: the loop ends when the reader is given up
+			}
+		}
+		if ok {
+			t.Errorf("%s: a reader that never reads is not closed", tt.name)
+		}
+		if o.Whole(end) {
+			t.Errorf("%s: a message that was not taken counts as whole", tt.name)
+		}
+		if _, ok := o.Send(m); ok {
+			t.Errorf("%s: a closed connection takes a message", tt.name)
+		}
+	}
+}
+
+// TestResetWhileSending: the write that finds the connection reset must end. Closing a descriptor waits until nobody uses
+// it, so closing it from within that write would wait for itself.
+func TestResetWhileSending(t *testing.T) {
+	ours, theirs := pair(t)
+	o := New(ours, 1<<20, time.Minute)
+	theirs.SetLinger(0)
+	theirs.Close()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for ok := true; ok; {
+			_, ok = o.Send([]byte("x"))
+		}
+	}()
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the sender hangs")
+	}
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,463 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/net/dns/dnsmessage"
+
+	"kitehub/choice"
+)
+
+const settingsText = `{"balancers": 1, "tickMs": 2, "tenants": [{"name": "acme"}], "kinds": ["std"], "localities": ["east"],
+	"classes": [{"name": "lookup", "effect": "pure", "giveUpMs": 4000, "targetMs": 1000, "worth": 1},
+		{"name": "move", "effect": "side_effect", "giveUpMs": 4000, "targetMs": 1000, "worth": 1}],
+	"domain": {"onMiss": "load", "idleLifeMs": 8500, "warmNotes": true}, "guarantees": {"drainGraceMs": 200},
+	"limits": {"mostTries": 3, "dialTimeoutMs": 250, "maxOpen": 100, "keepaliveMs": 15000, "streamsPerConn": 100, "cancel": true}}`
+
+// invoker is a stand-in worker: it answers each call after delay, by the body of the call if it is not told otherwise.
+type invoker struct {
+	ln    net.Listener
+	calls atomic.Int64
+	delay time.Duration
+	say   func(n int64) byte // code of the n-th answer; nil: ok
+}
+
+func newInvoker(t *testing.T, delay time.Duration, say func(int64) byte) *invoker {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := &invoker{ln: ln, delay: delay, say: say}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go v.serve(c)
+		}
+	}()
+	return v
+}
+
+func (v *invoker) serve(c net.Conn) {
+	defer c.Close()
+	var mu sync.Mutex
+	for {
+		head := make([]byte, 16)
+		if _, err := io.ReadFull(c, head); err != nil {
+			return
+		}
+		nf, nb := int(binary.BigEndian.Uint16(head[2:])), int(binary.BigEndian.Uint32(head[4:]))
+		rest := make([]byte, nf+nb+4)
+		if _, err := io.ReadFull(c, rest); err != nil {
+			return
+		}
+		if head[1] != 48 {
+			continue
+		}
+		n := v.calls.Add(1)
+		go func() {
+			time.Sleep(v.delay)
+			code := byte(64)
+			if v.say != nil {
+				code = v.say(n)
+			}
+			payload := append([]byte("note=resident"), rest[nf:nf+nb]...)
+			b := append([]byte{193, code, 0, 13}, head[4:]...)
+			b = append(b, payload...)
+			b = binary.BigEndian.AppendUint32(b, crc32.ChecksumIEEE(payload))
+			mu.Lock()
+			defer mu.Unlock()
+			c.Write(b)
+		}()
+	}
+}
+
+// directory answers with one list, which a test may change.
+type directory struct {
+	conn net.PacketConn
+	mu   sync.Mutex
+	list func(m *dnsmessage.Message)
+}
+
+func newDirectory(t *testing.T) *directory {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	d := &directory{conn: c}
+	go func() {
+		buf := make([]byte, 512)
+		for {
+			n, from, err := c.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			var m dnsmessage.Message
+			if m.Unpack(buf[:n]) != nil {
+				continue
+			}
+			d.mu.Lock()
+			list := d.list
+			d.mu.Unlock()
+			if list == nil {
+				continue
+			}
+			m.Header.Response = true
+			list(&m)
+			if b, err := m.Pack(); err == nil {
+				c.WriteTo(b, from)
+			}
+		}
+	}()
+	return d
+}
+
+// set has the directory answer with one worker, ready or draining.
+func (d *directory) set(serial uint32, id string, v *invoker, priority uint16) {
+	a := v.ln.Addr().(*net.TCPAddr)
+	host := dnsmessage.MustNewName(id + ".east.hosts.")
+	head := dnsmessage.ResourceHeader{Name: host, Class: dnsmessage.ClassINET}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list = func(m *dnsmessage.Message) {
+		q := m.Questions[0].Name
+		m.Answers = []dnsmessage.Resource{{Header: dnsmessage.ResourceHeader{Name: q, Class: dnsmessage.ClassINET},
+			Body: &dnsmessage.SRVResource{Priority: priority, Weight: 10, Port: uint16(a.Port), Target: host}}}
+		m.Authorities = []dnsmessage.Resource{{Header: dnsmessage.ResourceHeader{Name: q, Class: dnsmessage.ClassINET},
+			Body: &dnsmessage.SOAResource{NS: host, MBox: host, Serial: serial}}}
+		m.Additionals = []dnsmessage.Resource{{Header: head, Body: &dnsmessage.AResource{A: [4]byte{127, 0, 0, 1}}},
+			{Header: head, Body: &dnsmessage.TXTResource{TXT: []string{"kind=std", "cell=0", "started=0"}}}}
+	}
+}
+
+type rig struct {
+	t       *testing.T
+	file    string
+	fields  map[string]any
+	env     map[string]string
+	signals chan os.Signal
+	ended   chan error
+	log     *lines
+	addr    string
+}
+
+// lines is a log that can be waited for.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+	more chan struct{}
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	l.text.Write(b)
+	l.mu.Unlock()
+	select {
+	case l.more <- struct{}{}:
+	default:
+	}
+	return len(b), nil
+}
+
+// wait returns the first line that holds a text.
+func (l *lines) wait(t *testing.T, text string) string {
+	t.Helper()
+	end := time.After(20 * time.Second)
+	for {
+		l.mu.Lock()
+		all := l.text.String()
+		l.mu.Unlock()
+		for _, line := range strings.Split(all, "\n") {
+			if strings.Contains(line, text) {
+				return line
+			}
+		}
+		select {
+		case <-l.more:
+		case <-end:
+			t.Fatalf("no %q in the log:\n%s", text, all)
+		}
+	}
+}
+
+func start(t *testing.T, v *invoker, names string) *rig {
+	t.Helper()
+	r := &rig{t: t, file: filepath.Join(t.TempDir(), "config.json"), signals: make(chan os.Signal, 4), ended: make(chan error, 1), log: &lines{more: make(chan struct{}, 1)}}
+	r.env = map[string]string{EnvName: "n3", EnvListen: "127.0.0.1:0", EnvConfig: r.file}
+	r.fields = map[string]any{"name": "n3", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "names": names,
+		"limits":   map[string]any{"cores": 1, "memory_mb": 512, "sockets": 256},
+		"known":    known(v.ln.Addr().String()),
+		"settings": json.RawMessage(settingsText)}
+	r.write()
+	go func() {
+		r.ended <- Run(func(k string) string { return r.env[k] }, zerolog.New(r.log), r.signals)
+	}()
+	line := r.log.wait(t, `"serving"`)
+	var m struct{ Listen string }
+	if err := json.Unmarshal([]byte(line), &m); err != nil {
+		t.Fatal(err)
+	}
+	r.addr = m.Listen
+	t.Cleanup(func() {
+		r.signals <- syscall.SIGTERM
+		r.signals <- syscall.SIGTERM
+	})
+	return r
+}
+
+func known(addr string) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"cursor": 2, "cmds": [{"cursor": 1, "nodes": {"rev": 1, "all": true, "targets": [
+		{"uid": "s-0", "endpoint": "127.0.0.1:1", "az": "east", "model": "std", "pod_group": 0, "state": "ready", "capacity_hint": 1, "boot_ms": 0}]}},
+		{"cursor": 2, "nodes": {"rev": 2, "all": false, "targets": [{"uid": "s-0", "state": "gone"},
+		{"uid": "s-1", "endpoint": %q, "az": "east", "model": "std", "pod_group": 0, "state": "ready", "capacity_hint": 1, "boot_ms": 0}]}}]}`, addr))
+}
+
+func (r *rig) write() {
+	b, err := json.Marshal(r.fields)
+	if err == nil {
+		err = os.WriteFile(r.file, b, 0o600)
+	}
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+type client struct {
+	net.Conn
+	t   *testing.T
+	dec *msgpack.Decoder
+}
+
+func (r *rig) dial() *client {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	r.t.Cleanup(func() { c.Close() })
+	return &client{c, r.t, msgpack.NewDecoder(c)}
+}
+
+var txns atomic.Uint64
+
+func (c *client) call(id int, method string) {
+	b, err := msgpack.Marshal([]any{0, id, method, []any{map[string]string{"txn": fmt.Sprintf("%016x", txns.Add(1)), "limit": "4000", "team": "acme",
+		"item": "7f3a9c21e0b4d655", "attrs": "memory_mb:512;lanes:2;load_ms:640"}, []byte(fmt.Sprint("body ", id))}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.Write(b)
+}
+
+// answers reads n answers: bodies of served ones, and the words of errors, by msgid.
+func (c *client) answers(n int) map[string]string {
+	c.t.Helper()
+	got := map[string]string{}
+	for range n {
+		var v []any
+		if err := c.dec.Decode(&v); err != nil {
+			c.t.Fatalf("%d answers of %d: %v", len(got), n, err)
+		}
+		if id := fmt.Sprint(v[1]); v[2] != nil {
+			got[id] = fmt.Sprint(v[2].([]any)[0])
+		} else {
+			got[id] = fmt.Sprintf("%s", v[3].([]any)[0])
+		}
+	}
+	return got
+}
+
+func TestServes(t *testing.T) {
+	v := newInvoker(t, 0, nil)
+	r := start(t, v, newDirectory(t).conn.LocalAddr().String())
+	c := r.dial()
+	for i := range 10 {
+		c.call(i, []string{"lookup", "move"}[i%2])
+		if got := c.answers(1)[fmt.Sprint(i)]; got != fmt.Sprint("body ", i) {
+			t.Errorf("call %d: %q", i, got)
+		}
+	}
+	if n := v.calls.Load(); n != 10 {
+		t.Errorf("%d calls came to the worker, want 10", n)
+	}
+}
+
+// TestEffects: what may have run goes out again only where that does no harm.
+func TestEffects(t *testing.T) {
+	tests := []struct {
+		method string
+		code   byte // of the first answer
+		want   string
+		calls  int64
+	}{
+		{"lookup", 68, "body 1", 2}, // an error: it may have run, which a safe call may twice
+		{"move", 68, "Failed", 1},
+		{"move", 69, "body 1", 2}, // over already: it never ran
+	}
+	for _, tt := range tests {
+		v := newInvoker(t, 0, func(n int64) byte {
+			if n == 1 {
+				return tt.code
+			}
+			return 64
+		})
+		r := start(t, v, newDirectory(t).conn.LocalAddr().String())
+		c := r.dial()
+		c.call(1, tt.method)
+		if got := c.answers(1)["1"]; got != tt.want || v.calls.Load() != tt.calls {
+			t.Errorf("%s after %d: %q by %d attempts, want %q by %d", tt.method, tt.code, got, v.calls.Load(), tt.want, tt.calls)
+		}
+	}
+}
+
+func TestReload(t *testing.T) {
+	v, w := newInvoker(t, 0, nil), newInvoker(t, 0, nil)
+	first, second := newDirectory(t), newDirectory(t)
+	r := start(t, v, first.conn.LocalAddr().String())
+	c := r.dial()
+	if err := os.WriteFile(r.file, []byte(`{"name": "n3", "listen"`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.signals <- syscall.SIGHUP
+	r.log.wait(t, "the old one stays")
+	c.call(1, "lookup")
+	if got := c.answers(1)["1"]; got != "body 1" {
+		t.Errorf("with a broken file: %q", got)
+	}
+	second.set(3, "s-2", w, 0)
+	r.fields["names"] = second.conn.LocalAddr().String()
+	r.write()
+	r.signals <- syscall.SIGHUP
+	r.log.wait(t, `"version":3`)
+	for i := 2; w.calls.Load() == 0; i++ { // the module hears of the list with its next step
+		c.call(i, "lookup")
+		c.answers(1)
+	}
+	if n := v.calls.Load(); n < 1 {
+		t.Errorf("%d calls at the first worker", n)
+	}
+}
+
+func TestTerm(t *testing.T) {
+	v := newInvoker(t, 300*time.Millisecond, nil)
+	r := start(t, v, newDirectory(t).conn.LocalAddr().String())
+	c := r.dial()
+	for i := range 4 {
+		c.call(i, "lookup")
+	}
+	r.signals <- syscall.SIGTERM
+	r.log.wait(t, `"stopping"`)
+	late := r.dial() // connections and requests still come for a while
+	late.call(1, "move")
+	if got := late.answers(1)["1"]; got != "body 1" {
+		t.Errorf("a request after SIGTERM: %q", got)
+	}
+	for id, got := range c.answers(4) {
+		if got != "body "+id {
+			t.Errorf("request %s, open at SIGTERM: %q", id, got)
+		}
+	}
+	if err := <-r.ended; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	if _, err := net.Dial("tcp", r.addr); err == nil {
+		t.Error("it still listens")
+	}
+}
+
+func TestConfig(t *testing.T) {
+	base := func() map[string]any {
+		return map[string]any{"name": "n3", "listen": "127.0.0.1:0", "seed": "8c", "names": "127.0.0.1:53", "limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256},
+			"known": known("127.0.0.1:2"), "settings": json.RawMessage(settingsText)}
+	}
+	tests := []struct {
+		name, field string // at fault; "": none
+		change      func(map[string]any)
+	}{
+		{"good", "", func(map[string]any) {}},
+		{"no listen", EnvListen, func(m map[string]any) { delete(m, "listen") }},
+		{"no name", EnvName, func(m map[string]any) { delete(m, "name") }},
+		{"no names", "names", func(m map[string]any) { delete(m, "names") }},
+		{"seed", "seed", func(m map[string]any) { m["seed"] = "xyz" }},
+		{"no settings", "settings", func(m map[string]any) { delete(m, "settings") }},
+		{"settings that are no object", "settings", func(m map[string]any) { m["settings"] = 7 }},
+		{"sockets", "limits.sockets", func(m map[string]any) { m["limits"] = map[string]any{"cores": 1, "memory_mb": 64, "sockets": 3} }},
+		{"memory", "limits.memory_mb", func(m map[string]any) { m["limits"] = map[string]any{"cores": 1, "sockets": 300} }},
+		{"cores", "limits.cores", func(m map[string]any) { m["limits"] = map[string]any{"cores": -1, "memory_mb": 64, "sockets": 300} }},
+		{"an endpoint", "known.cmds[1].nodes.targets[1].endpoint", func(m map[string]any) { m["known"] = known("nowhere") }},
+		{"a state", "known.cmds[0].nodes.targets[0].state", func(m map[string]any) {
+			m["known"] = json.RawMessage(`{"cmds": [{"nodes": {"targets": [{"uid": "a", "endpoint": "a:1", "state": "asleep"}]}}]}`)
+		}},
+		{"words, and nowhere to listen for them", "peer_listen", func(m map[string]any) {
+			m["settings"] = json.RawMessage(strings.Replace(settingsText, `"cancel": true`, `"peerMessages": true`, 1))
+		}},
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	env := func(k string) string { return map[string]string{EnvConfig: file}[k] }
+	for _, tt := range tests {
+		m := base()
+		tt.change(m)
+		b, _ := json.Marshal(m)
+		os.WriteFile(file, b, 0o600)
+		c, err := Load(env)
+		var p *Problem
+		if errors.As(err, &p); tt.field == "" && err != nil || tt.field != "" && (p == nil || p.Field != tt.field) {
+			t.Errorf("%s: %v, want field %q", tt.name, err, tt.field)
+		}
+		if err == nil && (len(c.Known) != 1 || c.Known[0].Name != "s-1" || c.Known[0].Group != "0" || c.Serial != 2 || c.Seed != 0x8c) {
+			t.Errorf("%s: %+v", tt.name, c)
+		}
+	}
+	for name, env := range map[string]func(string) string{"not set": func(string) string { return "" }, "no file": func(string) string { return "/nonesuch" }} {
+		if _, err := Load(env); !IsProblem(err) || !strings.Contains(err.Error(), EnvConfig) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	os.WriteFile(file, bytes.Repeat([]byte("["), 100), 0o600)
+	if _, err := Load(env); !IsProblem(err) {
+		t.Errorf("no JSON: %v", err)
+	}
+}
+
+func TestDivide(t *testing.T) {
+	for _, l := range []Limits{{0.25, 32, leastSockets}, {0.25, 48, 256}, {1, 192, 1024}, {2.5, 2048, 4096}} {
+		b := divide(l)
+		if b.clients < 1 || b.workers < 1 || b.clients+b.workers > l.Sockets-16 || 3*b.clients < l.Sockets-48 {
+			t.Errorf("%+v: %+v", l, b)
+		}
+		if b.procs < 1 || float64(b.procs) < l.Cores || b.heap <= 0 || float64(b.heap) > l.MemoryMB*(1<<20) {
+			t.Errorf("%+v: %+v", l, b)
+		}
+	}
+}
+
+func TestTimes(t *testing.T) {
+	s := choice.Settings{Classes: []choice.Class{{Deadline: 4}, {Deadline: 9}, {Deadline: 5}}, Limits: choice.Limits{Dial: 10}}
+	if longest(s) != 9 || dials(s, 2.5) != 25 {
+		t.Errorf("%v, %v", longest(s), dials(s, 2.5))
+	}
+}
