--- a/backend/frame/conn.go
+++ b/backend/frame/conn.go
@@ -215,6 +215,10 @@
 	Addr      string
 	withdrawn atomic.Bool // it drains or is gone: nothing new to it
 
+	// What passed on the sockets, for Seen.
+	open, answered, lost atomic.Int64
+	took                 atomic.Int64 // nanoseconds, of all answers that served
+
 	mu       sync.Mutex
 	conns    []*conn
 	dialling int
--- a/backend/frame/frame.go
+++ b/backend/frame/frame.go
@@ -6,8 +6,10 @@
 package frame
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -195,6 +197,8 @@
 	within time.Duration
 	start  time.Duration
 
+	counts bool // it is a call: Seen tells of it
+
 	mu        sync.Mutex
 	cancel    context.CancelFunc // of the dial
 	cancelled bool
@@ -205,6 +209,7 @@
 // Send starts an attempt; done is called once, never by Send itself.
 func (b *Backend) Send(a backend.Attempt, done func(backend.Result)) backend.Running {
 	t := &attempt{b: b, within: a.Within, start: b.cfg.Clock.Now()}
+	t.counts = true
 	t.ended = func(o choice.Outcome, ans *answer) {
 		res := backend.Result{Outcome: o, Took: b.cfg.Clock.Now() - t.start}
 		if ans != nil {
@@ -339,9 +344,49 @@
 		return false
 	}
 	t.c = c
+	if t.counts {
+		c.p.open.Add(1)
+	}
 	return true
 }
 
+// tally notes how a call ended that went out.
+func (t *attempt) tally(p *peer, o choice.Outcome) {
+	p.open.Add(-1)
+	switch o {
+	case choice.OK:
+		p.answered.Add(1)
+		p.took.Add(int64(t.b.cfg.Clock.Now() - t.x.sent))
+	case choice.Reset, choice.ConnectFailed, choice.TimedOut:
+		p.lost.Add(1)
+	}
+}
+
+// Seen is what passed between this controller and a worker: the truth that the module's belief can be held against.
+type Seen struct {
+	Worker   choice.WorkerID
+	Name     string
+	Conns    int
+	Open     int           // calls on the sockets
+	Answered int64         // calls served
+	Lost     int64         // calls whose connection ended, or whose time did, with no answer
+	Took     time.Duration // sum over the calls served, from the first byte out to the answer
+}
+
+// Seen returns what passed, of the workers now listed.
+func (b *Backend) Seen() (l []Seen) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for id, p := range b.peers {
+		p.mu.Lock()
+		n := len(p.conns)
+		p.mu.Unlock()
+		l = append(l, Seen{Worker: id, Name: p.Name, Conns: n, Open: int(p.open.Load()), Answered: p.answered.Load(), Lost: p.lost.Load(), Took: time.Duration(p.took.Load())})
+	}
+	slices.SortFunc(l, func(a, b Seen) int { return cmp.Compare(a.Worker, b.Worker) })
+	return l
+}
+
 func (t *attempt) timedOut() {
 	t.mu.Lock()
 	c := t.c
@@ -411,9 +456,12 @@
 // end tells how the attempt ended, once.
 func (t *attempt) end(o choice.Outcome, a *answer) {
 	t.mu.Lock()
-	over := t.over
+	over, c := t.over, t.c
 	t.over = true
 	t.mu.Unlock()
+	if !over && c != nil && t.counts {
+		t.tally(c.p, o)
+	}
 	if !over {
 		t.ended(o, a)
 	}
--- a/choice/look.go
+++ b/choice/look.go
@@ -16,6 +16,7 @@
 	Rank     int     // as advised
 	Tokens   float64 // of the worker
 	Busy     int     // of them, in use
+	Pace     float64 // mean of its run times over its classes' means; 0: not known
 	Loads    int     // attempts there that may wait for a load
 	Pass     float64 // share of requests let pass
 	Waiting  int     // requests of the function in its queue
@@ -35,7 +36,7 @@
 	}
 	l.Ready, l.Ejected, l.Rank = d.ready(w), w.ejected, w.rank
 	l.Cold = w.coldFrom > 0 && d.now < w.coldFrom+d.s.Guarantees.ColdFor
-	l.Tokens, l.Busy, l.Loads = w.tokens, w.busy, w.loads
+	l.Tokens, l.Busy, l.Loads, l.Pace = w.tokens, w.busy, w.loads, w.pace
 	if q != nil {
 		l.Warm = d.warm(q.spots[w], w)
 	}
--- /dev/null
+++ b/relay/belief.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"kitehub/backend/frame"
+	"kitehub/choice"
+	"kitehub/gateway"
+)
+
+// mostTold bounds the workers that one line tells of.
+const mostTold = 32
+
+// beliefs sets what the module believes of each worker beside what passed on its sockets since the last time, one text a
+// worker, and returns by how many calls out the two differ in all. They are read one after the other, so what is on its way
+// between them counts as a difference for a moment; one that stays is a fault.
+func beliefs(now []frame.Seen, before map[choice.WorkerID]frame.Seen, views []gateway.WorkerView) (lines []string, differ int) {
+	of := map[string]gateway.WorkerView{}
+	for _, v := range views {
+		of[v.Name] = v
+	}
+	for _, s := range now {
+		v, known := of[s.Name]
+		out := v.Look.Busy + v.Look.Loads
+		differ += max(out-s.Open, s.Open-out)
+		if len(lines) == mostTold {
+			continue
+		}
+		was := before[s.Worker]
+		mean := time.Duration(0)
+		if n := s.Answered - was.Answered; n > 0 {
+			mean = (s.Took - was.Took) / time.Duration(n)
+		}
+		state := "not known"
+		switch {
+		case v.Look.Ejected:
+			state = "ejected"
+		case v.Look.Cold:
+			state = "cold"
+		case known:
+			state = "well"
+		}
+		lines = append(lines, fmt.Sprintf("%s out %d/%d conns %d served %d in %dms lost %d; %s pace %.2f tokens %.1f", s.Name, out, s.Open, s.Conns,
+			s.Answered-was.Answered, mean.Milliseconds(), s.Lost-was.Lost, state, v.Look.Pace, v.Look.Tokens))
+	}
+	return lines, differ
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -130,12 +130,22 @@
 func (r *Relay) report() {
 	t := time.NewTicker(reportEvery)
 	defer t.Stop()
+	before := map[choice.WorkerID]frame.Seen{}
 	for {
 		select {
 		case <-r.done:
 			return
 		case <-t.C:
 		}
+		if views, _, err := r.Gateway.View(); err == nil {
+			seen := r.Backend.Seen()
+			lines, differ := beliefs(seen, before, views)
+			clear(before)
+			for _, s := range seen {
+				before[s.Worker] = s
+			}
+			r.log.Info().Int("differ", differ).Strs("workers", lines).Msg("beliefs")
+		}
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
 		g, f, b, w := &r.Gateway.Counts, &r.Front.Counts, &r.Backend.Counts, &r.Watch.Counts
