Where few controllers share a copy, a worker a tenth slower than its peers loses tokens

So 1.1 holds where at most four controllers come to a lane of a copy, as crowd has it: there what each holds back is felt at the worker. Also: a function that is always called no longer remembers workers that went with its calls out (50 of 50 in the test, none now).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,6 +23,7 @@
 	ringPoints  = 48   // of an average worker: even arcs, and a lost home's functions go to many others
 	quietRuns   = 3.0  // no answer for so many mean runs: ask the worker whether it lives
 	paceOver    = 1.5  // answers slower than usual by this: the worker has too much in hand, or is slow
+	paceFew     = 1.1  // the same where few controllers share a copy: what each holds back is then felt there
 	paceCut     = 0.9  // of the tokens, then; ten such answers weigh more than the halving after a refusal
 	paceLow     = 0.5  // of the last token at the least, for an answer far slower
 	ejectDials  = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
@@ -385,14 +386,24 @@
 // were more than its lanes and it was slow, the next calls spread over more of the ring; else over fewer.
 // Where few controllers share the lanes of a copy, their own tokens do this.
 func (d *Dispatcher) crowd(q *queue, alike int, lanes float64, slow bool) {
-	n := float64(d.s.Controllers)
-	if over := float64(alike+1) / max(1, lanes); over > 1 && slow && n > manyLanes*lanes {
+	if over := float64(alike+1) / max(1, lanes); over > 1 && slow && d.many(lanes) {
 		q.spread = min(q.spread*min(over, spreadRise), float64(len(d.order)))
 	} else if !slow {
 		q.spread = max(1, q.spread*spreadFall)
 	}
 }
 
+// many tells whether so many controllers share the lanes of a copy that tokens of each do not bound the sum.
+func (d *Dispatcher) many(lanes float64) bool { return float64(d.s.Controllers) > manyLanes*lanes }
+
+// slower is how much slower than usual answers are where a worker has too much in hand, or is slow.
+func (d *Dispatcher) slower(lanes float64) float64 {
+	if d.many(lanes) {
+		return paceOver
+	}
+	return paceFew
+}
+
 // usualPace is the median pace of the workers that answered: a slow answer of one worker among its peers is
 // that worker's load or trouble, of all of them the function's or the day's.
 func (d *Dispatcher) usualPace() float64 {
@@ -718,9 +729,9 @@
 	}
 	t := &r.tries[e.Attempt]
 	w := t.w
+	took, c, sp := e.Took.Seconds(), d.s.Classes[r.Class], r.q.spot(w)
 	d.release(r, t, e.Outcome)
 	step := max(partRise, 1/float64(d.s.Controllers))
-	took, c, sp := e.Took.Seconds(), d.s.Classes[r.Class], r.q.spot(w)
 	switch e.Outcome {
 	case OK:
 		d.answered(w, OK)
@@ -738,13 +749,13 @@
 				d.crowded += crowdWeight
 			}
 		}
-		slow := e.Took > c.Aim || took > paceOver*d.usualPace()*d.classRun[r.Class]
+		slow := e.Took > c.Aim || took > d.slower(r.Lanes)*d.usualPace()*d.classRun[r.Class]
 		d.crowd(r.q, e.Alike, r.Lanes, slow && d.share(w) >= 1)
 		if !cold && (e.Note == FoundWarm || !t.load) {
 			r.q.run = mean(r.q.run, took)
 			d.classRun[r.Class] = mean(d.classRun[r.Class], took)
 			w.pace = mean(w.pace, took/d.classRun[r.Class])
-			over := paceOver * d.usualPace() / w.pace
+			over := d.slower(r.Lanes) * d.usualPace() / w.pace
 			switch {
 			case (e.Took > c.Aim || over < 1) && w.tokens > startTokens:
 				w.tokens *= paceCut
@@ -802,6 +813,9 @@
 	} else {
 		t.w.busy--
 	}
+	if sp.out == 0 && t.w.State == Gone { // a hot function would gather those of all workers that ever were
+		delete(r.q.spots, t.w)
+	}
 	t.w.since = d.now
 	r.q.inFlight--
 	r.q.lastExec = d.now
--- a/choice/mechanism_test.go
+++ b/choice/mechanism_test.go
@@ -86,6 +86,54 @@
 	}
 }
 
+// Where few controllers share a copy, a worker a quarter slower than its peers loses tokens: what each holds back is felt there.
+// Where many do, the same answers take none away.
+func TestTokensOfSlowerWorker(t *testing.T) {
+	for _, tt := range []struct {
+		controllers int
+		falls       bool
+	}{{3, true}, {8, true}, {9, false}, {200, false}} { // two lanes, four controllers to a lane
+		s := base()
+		s.Controllers = tt.controllers
+		d := start(t, s, ready(1, 2, 3)...)
+		for _, w := range d.order {
+			w.pace = 1
+		}
+		w := d.workers[2]
+		w.pace, w.tokens = 1.25, 8
+		d.Step(time.Second, []Event{arrival(1, 0, 7)})
+		r := d.requests[1]
+		if len(r.tries) == 0 {
+			t.Fatal("not sent")
+		}
+		r.tries[0].w = w // wherever its home is
+		w.out, w.busy, w.loads = 1, 1, 0
+		r.tries[0].load = false
+		d.Step(1150*ms, []Event{Returned{Request: 1, Worker: w.ID, Outcome: OK, Complete: true, Note: FoundWarm, Took: 156250 * time.Microsecond}})
+		if (w.tokens < 8) != tt.falls {
+			t.Errorf("%d controllers: D %v after an answer at 1.25 of the usual pace, was 8", tt.controllers, w.tokens)
+		}
+	}
+}
+
+// A function that is always called keeps nothing of workers that have gone, also of those that went with its calls out.
+func TestGoneWorkersForgotten(t *testing.T) {
+	d := start(t, base(), ready(1)...)
+	for i := RequestID(1); i <= 50; i++ {
+		id := WorkerID(i)
+		d.Step(time.Second, []Event{List{Kind: Whole, Workers: ready(id)}})
+		sends := pickOut[Send](d.Step(time.Second, []Event{arrival(i, 0, 7)}))
+		if len(sends) != 1 || sends[0].Worker != id {
+			t.Fatalf("%+v", sends)
+		}
+		d.Step(time.Second, []Event{List{Kind: Whole, Workers: ready(id + 1)}})
+		d.Step(time.Second, []Event{Returned{Request: i, Worker: id, Outcome: OK, Complete: true, Note: FoundWarm}})
+	}
+	if n := len(d.queues[7].spots); n > 1 {
+		t.Errorf("%d workers remembered, one is there", n)
+	}
+}
+
 // Copies that are asked for ahead of calls come by orders within the limit, to ready workers only, and once.
 func TestStaged(t *testing.T) {
 	s := base()
