A worker that fails what its peers serve gets no calls that may not be repeated freely

A probe that counted ends by worker and class: one worker answers three of four calls with an error in 1 ms. Ruled out: a class (all alike), resets (none), the release (begins later). Lines at fault: returned() took an error for a sign of life and nothing else.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,7 @@
 	paceLow     = 0.5  // of the last token at the least, for an answer far slower
 	ejectDials  = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
 	ejectCold   = 0.5  // longest time off the ring, of the warm-up time
+	errorOver   = 0.5  // share of errors over its peers' at which it is the worker that fails, not the calls
 	askDials    = 3.0  // dial time-outs that a question may go without an answer
 	strikeOut   = 2    // failures in a row that take a worker off the ring
 	coldPart    = 0.5  // of what a cold worker may be sent beyond its share: calls differ, workers too
@@ -370,6 +371,30 @@
 	return w.State == Ready && (!w.ejected || 2*d.ejected() > len(d.order))
 }
 
+// failed follows a worker's share of errors. One that fails most calls at once has tokens to spare, and draws
+// in more. What may not be repeated freely is lost there and goes elsewhere for a growing time, unless its
+// peers fail as much. Safe calls go on, and show when it is over.
+func (d *Dispatcher) failed(w *worker, e Returned) {
+	if e.Outcome == Error && e.Note != LoadFailed {
+		w.failing += meanWeight * (1 - w.failing)
+	}
+	var shares []float64
+	for _, o := range d.order {
+		shares = append(shares, o.failing)
+	}
+	if d.now >= w.failTo && w.failing > errorOver+median(shares, 0) {
+		w.failTo = d.now + d.offFor(w.ejections)
+		w.ejections++
+	}
+}
+
+// offFor is a time off the ring, longer with each before it.
+func (d *Dispatcher) offFor(before int) time.Duration {
+	span := ejectDials * float64(d.s.Limits.Dial) * math.Pow(2, float64(min(before, 10)))
+	span = min(span, ejectCold*float64(d.s.Guarantees.ColdFor))
+	return time.Duration(span * (1 + jitter*(d.rng.Float64()-0.5)))
+}
+
 // takes tells whether a worker takes a request: with less than one token only a part of them, as whole tokens
 // bound nothing where many controllers send little each. A request's place is a hash; as it waits it comes to
 // be taken. One that failed there is the last to be taken.
@@ -502,7 +527,7 @@
 		sp := q.spots[w]
 		warm := d.warm(sp, w)
 		chance = chance || warm || w.ejected || home == nil && w.loadTo < r.final
-		if !d.ready(w) || !d.maySend(r, w) {
+		if !d.ready(w) || !d.maySend(r, w) || d.now < w.failTo && d.s.Classes[r.Class].Effect != Safe {
 			continue
 		}
 		// A cold home is sent what its bound lets pass: others may have had the copy loaded. The rest waits
@@ -673,10 +698,7 @@
 
 // eject takes a worker off the ring for a growing, bounded time and finds another for what it holds.
 func (d *Dispatcher) eject(w *worker) {
-	span := ejectDials * float64(d.s.Limits.Dial) * math.Pow(2, float64(min(w.ejections, 10)))
-	w.ejected, w.asked = true, 0
-	span = min(span, ejectCold*float64(d.s.Guarantees.ColdFor))
-	w.backAt = d.now + time.Duration(span*(1+jitter*(d.rng.Float64()-0.5)))
+	w.ejected, w.asked, w.backAt = true, 0, d.now+d.offFor(w.ejections)
 	w.ejections++
 	d.rescue(w)
 }
@@ -741,6 +763,7 @@
 			w.denied = 0
 		}
 		w.ejections = 0
+		w.failing *= 1 - meanWeight
 		sp.seen = d.now
 		cold := e.Note == BeganLoad || e.Note == AwaitedOne
 		if !t.load {
@@ -783,6 +806,7 @@
 		d.crowd(r.q, int(2*r.Lanes), r.Lanes, d.share(w) >= 1)
 	default:
 		d.answered(w, e.Outcome)
+		d.failed(w, e)
 	}
 	if e.Complete || e.Outcome == OK {
 		d.end(r)
--- a/choice/mechanism_test.go
+++ b/choice/mechanism_test.go
@@ -176,3 +176,77 @@
 		}
 	}
 }
+
+// From r6f1dac: a worker that answers most calls with errors at once gets none that may not be repeated freely, for a growing
+// time; safe ones go on, and show when it is over. Where its peers fail as much it is the calls, and nothing changes.
+func TestFailingWorker(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fails func(WorkerID, RequestID) bool
+		stays bool // unsafe calls go on to worker 1
+	}{
+		{"one worker, most calls", func(w WorkerID, i RequestID) bool { return w == 1 && i%5 > 0 }, false},
+		{"all workers", func(_ WorkerID, i RequestID) bool { return i%5 > 0 }, true},
+		{"none", func(WorkerID, RequestID) bool { return false }, true},
+	} {
+		d := start(t, base(), ready(1, 2, 3)...)
+		now, sent, tries := time.Second, map[bool]int{}, map[RequestID]int{} // at worker 1 in the second half, by whether the call was safe
+		for i := RequestID(1); i <= 400; i++ {
+			now += 10 * ms
+			class := int(i%2) * 2
+			todo := d.Step(now, []Event{arrival(i, class, FunctionID(class*100)+FunctionID(i%24))})
+			for ; len(todo) > 0; todo = todo[1:] {
+				if h, ok := todo[0].(Hold); ok {
+					todo = append(todo, d.Step(now, []Event{Held{Worker: h.Worker, Function: h.Function, Outcome: OK, Copies: 1}})...)
+				}
+				a, ok := todo[0].(Send)
+				if !ok {
+					continue
+				}
+				if a.Worker == 1 && i > 100 {
+					sent[a.Request%2 == 0]++
+				}
+				o := OK
+				if tt.fails(a.Worker, a.Request) {
+					o = Error
+				}
+				todo = append(todo, d.Step(now, []Event{Returned{Request: a.Request, Attempt: tries[a.Request], Worker: a.Worker, Outcome: o,
+					Complete: o == OK, Took: 5 * ms, Note: FoundWarm}})...)
+				tries[a.Request]++
+			}
+		}
+		if sent[true] == 0 {
+			t.Errorf("%s: no safe call goes to worker 1", tt.name)
+		}
+		if (sent[false] > 0) != tt.stays {
+			t.Errorf("%s: %d unsafe calls went to worker 1", tt.name, sent[false])
+		}
+	}
+}
+
+// The time grows while every answer is an error, and is over with it.
+func TestFailingWorkerReturns(t *testing.T) {
+	d := start(t, base(), ready(1, 2, 3)...)
+	w := d.workers[1]
+	var spans []time.Duration
+	for len(spans) < 3 {
+		d.now = max(d.now, w.failTo)
+		before := w.failTo
+		for w.failTo == before {
+			d.failed(w, Returned{Outcome: Error})
+		}
+		spans = append(spans, w.failTo-d.now)
+	}
+	if spans[1] <= spans[0] || spans[2] <= spans[1] {
+		t.Errorf("%v, want each longer than the one before", spans)
+	}
+	r := arrival(1, 2, 7)
+	d.Step(w.failTo+time.Second, []Event{r})
+	for range 10 {
+		w.failing *= 1 - meanWeight // as ten answers do
+	}
+	d.failed(w, Returned{Outcome: Error})
+	if d.now < w.failTo {
+		t.Error("one error after ten answers is enough")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -50,9 +50,11 @@
 	heard     time.Duration
 	since     time.Duration // since when something is out without an answer
 	strikes   int
-	ejections int
+	ejections int           // in a row, and times that failTo was set
 	backAt    time.Duration // off the ring until then, if ejected
 	ejected   bool
+	failing   float64       // mean share of errors among its answers
+	failTo    time.Duration // nothing that is not safe goes there until then, as it failed what others served
 	asked     time.Duration // when a question went out that has no answer; 0: none
 	pace      float64       // mean of run time over the class's mean; 0: not known
 	loadTo    time.Duration // no load there before
