--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,7 +23,7 @@
 	ringPoints  = 48   // of an average worker: even arcs, and a lost home's functions go to many others
 	quietRuns   = 3.0  // no answer for so many mean runs: ask the worker whether it lives
 	paceOver    = 1.5  // answers slower than usual by this: the worker has too much in hand, or is slow
-	paceFew     = 1.1  // the same where few controllers share a copy: what each holds back is then felt there
+	paceFew     = 1.25 // the same where few controllers share a copy: what each holds back is then felt there
 	paceCut     = 0.9  // of the tokens, then; ten such answers weigh more than the halving after a refusal
 	paceLow     = 0.5  // of the last token at the least, for an answer far slower
 	ejectDials  = 4.0  // first time off the ring, in dial time-outs; doubles for each further failure
