A keyed call of which other bytes ran is not served by its group's memory of them

A lying worker runs other bytes; its answer is dropped and the keyed call goes again in the group, which drops the repeat and gives the remembered answer, under the right digest. It was there before; since a failing worker is passed by, the repeat goes to another worker of the group, which shows it. gateway.send looked at the digest of each answer alone.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,6 +189,7 @@
 	at      time.Duration
 	claimed atomic.Int32 // the Kind of its one final answer: whoever sets it from 0 gives it
 	noted   bool         // the answer is counted and logged
+	wrong   atomic.Bool  // other bytes ran under its key: the group that drops its repeats would give their answer
 	tries   []try
 	out     int
 }
@@ -582,7 +583,9 @@
 		// With no other request in hand there is nothing to decide by it: it is taken in with the next step, which
 		// the module's Wake brings at the latest.
 		idle := false
-		if want := call.Function.Digest; want != "" && res.Outcome == choice.OK && res.Digest != want {
+		keyed := g.cfg.Settings.Classes[call.Function.Class].Effect == choice.Keyed
+		if want := call.Function.Digest; want != "" && res.Outcome == choice.OK && (res.Digest != want || r.wrong.Load()) {
+			r.wrong.Store(keyed)
 			g.Counts.Mismatched.Add(1)
 			g.cfg.Log.Error().Str("worker", g.workerName(worker)).Str("function", call.Function.Name).Str("wanted", want).Str("ran", res.Digest).Msg("other bytes ran: the answer is dropped")
 			res.Outcome = choice.Error
