--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -409,3 +409,40 @@
 		t.Errorf("%d names, %d by advice", n, len(g.names.advised))
 	}
 }
+
+// A keyed call of which other bytes ran takes no later answer: its group drops the repeat and gives what those bytes said, under
+// the right digest. A safe one takes the answer of the right bytes.
+func TestWrongBytes(t *testing.T) {
+	for _, tt := range []struct {
+		effect choice.Effect
+		want   Kind
+	}{{choice.Safe, Served}, {choice.Keyed, Failed}} {
+		g, c, clk, _ := fixed(t)
+		g.cfg.Settings.Classes[0].Effect, g.cfg.Settings.Classes[0].Scope, g.cfg.Settings.Classes[0].Window = tt.effect, choice.AllWorkers, time.Second
+		var err error
+		if g.d, err = choice.New(g.cfg.Settings, 1); err != nil {
+			t.Fatal(err)
+		}
+		id, err := g.AddFunction("m@1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []Answer
+		if _, ok := g.Submit(&Call{ID: "m", Function: &Function{Name: "m@1", ID: id, Digest: "right", Lanes: 2}, Expires: 2 * time.Second,
+			Deliver: func(a Answer) { got = append(got, a) }}); !ok {
+			t.Fatal("not taken")
+		}
+		digests := []string{"wrong", "right", "right", "right", "right"}
+		for i := 0; len(got) == 0 && i < 1000; i++ {
+			g.step(clk.Now())
+			clk.Advance(10 * ms)
+			if n := len(digests); n > 0 && c.send(5-n) != nil {
+				c.send(5 - n)(backend.Result{Outcome: choice.OK, Took: 10 * ms, Digest: digests[0], Body: []byte("x")})
+				digests = digests[1:]
+			}
+		}
+		if len(got) != 1 || got[0].Kind != tt.want && !(tt.want == Failed && got[0].Kind == Refused) || len(digests) > 3 {
+			t.Errorf("effect %d: %+v after %d attempts, want %v", tt.effect, got, 5-len(digests), tt.want)
+		}
+	}
+}
