--- a/backend/frame/frame_test.go
+++ b/backend/frame/frame_test.go
@@ -75,6 +75,21 @@
 	return ln.Addr().String()
 }
 
+// serving is an invoker that answers every call, and tells the number of the connection that each came on.
+func serving(t *testing.T) (addr string, conns chan int) {
+	conns = make(chan int, 10)
+	return invoker(t, func(n int, c *net.TCPConn) {
+		for {
+			g, err := readCommand(c)
+			if err != nil {
+				return
+			}
+			conns <- n
+			c.Write(reply(codeOK, g.id, "", "answer"))
+		}
+	}), conns
+}
+
 func start(t *testing.T, addr string, change func(*Config)) *Backend {
 	t.Helper()
 	cfg := Config{Clock: clock.System(), Within: 5 * time.Second, Idle: time.Hour, Streams: 100, Conns: 8, MostBody: 64 << 10, Patience: time.Hour,
@@ -364,17 +379,7 @@
 
 // TestSameAddress: a new worker at the address of one that is gone is reached by connections of its own.
 func TestSameAddress(t *testing.T) {
-	conns := make(chan int, 10)
-	addr := invoker(t, func(n int, c *net.TCPConn) {
-		for {
-			g, err := readCommand(c)
-			if err != nil {
-				return
-			}
-			conns <- n
-			c.Write(reply(codeOK, g.id, "", "answer"))
-		}
-	})
+	addr, conns := serving(t)
 	b := start(t, addr, nil)
 	run(b, call(1))
 	run(b, call(2))
@@ -423,17 +428,7 @@
 	if got := trusted(time.Second, time.Second); got != 500*time.Millisecond {
 		t.Errorf("idle for %v, where workers close after 1s, it is still used", got)
 	}
-	commands := make(chan int, 10)
-	addr := invoker(t, func(n int, c *net.TCPConn) {
-		for {
-			g, err := readCommand(c)
-			if err != nil {
-				return
-			}
-			commands <- n
-			c.Write(reply(codeOK, g.id, "", "answer"))
-		}
-	})
+	addr, commands := serving(t)
 	clk := clock.NewManual(time.Unix(1e9, 0))
 	b := start(t, addr, func(c *Config) { c.Clock, c.Within, c.Patience = clk, 5*time.Second, time.Hour })
 	for i, after := range []time.Duration{0, 4 * time.Second, 6 * time.Second} {
--- a/discovery/dns/watch.go
+++ b/discovery/dns/watch.go
@@ -64,23 +64,18 @@
 }
 
 // Turn has another server asked from now on. The list and its number stay.
-func (w *Watcher) Turn(server string) {
-	w.mu.Lock()
-	w.server = server
-	if w.conn != nil {
-		w.conn.Close()
-	}
-	w.mu.Unlock()
-	select {
-	case w.turn <- struct{}{}:
-	default:
-	}
-}
+func (w *Watcher) Turn(server string) { w.change(func() { w.server = server }) }
 
 // Stop ends the watch.
 func (w *Watcher) Stop() {
+	w.change(func() { w.ended = true })
+	w.wg.Wait()
+}
+
+// change changes something under the lock and has the watch look at it at once.
+func (w *Watcher) change(f func()) {
 	w.mu.Lock()
-	w.ended = true
+	f()
 	if w.conn != nil {
 		w.conn.Close()
 	}
@@ -89,7 +84,6 @@
 	case w.turn <- struct{}{}:
 	default:
 	}
-	w.wg.Wait()
 }
 
 func (w *Watcher) run() {
