A review's faults: evicted clients, calls late at the loop, suspicion, first bytes after a drain

Found by reading the relay once more, each shown by a test that failed before: - A connection chosen to be closed could still hand a request in; its client sends it again by the protocol, so an unsafe one could run twice. It is now barred under the lock that counts what is open, and one with something open is never closed for being silent in mid-message. - A call's time counted from the loop's step, not from its last byte: with the loop 1.5 s late a call of 2 s was answered at 3.5 s (TestLag). Outbox.Begin starts at once or not at all; one that had begun comes whole (TestHalfWritten, TestBegin). - Everyone no longer includes oneself when words go to all controllers. Also tested now: an answer after its time, an idle connection that is reset. Fields that nothing read are gone.

--- a/backend/frame/conn.go
+++ b/backend/frame/conn.go
@@ -14,7 +14,6 @@
 
 // An exchange is a call or an order on a connection, until it ends.
 type exchange struct {
-	c     *conn
 	id    uint64
 	end   uint64 // of its frame in the connection's stream
 	order bool
@@ -66,11 +65,14 @@
 	if len(c.open) == 0 {
 		c.heard = now
 	}
-	x.c, x.sent = c, now
+	end, ok := c.out.Begin(frame)
+	if !ok { // the first byte must not wait: the worker may drain before it goes out
+		return false
+	}
+	x.end, x.sent = end, now
 	c.uses++
 	c.since = now
 	c.open[x.id] = x
-	x.end, _ = c.out.Send(frame) // if the connection has ended, its reader ends the exchange
 	return true
 }
 
@@ -84,9 +86,7 @@
 	delete(c.open, x.id)
 	now := c.p.b.cfg.Clock.Now()
 	c.past[x.id], c.since = now, now
-	if x.timer != nil {
-		x.timer.Stop()
-	}
+	x.timer.Stop()
 	return true
 }
 
@@ -160,9 +160,7 @@
 		c.p.b.Counts.LostUsed.Add(1)
 	}
 	for _, x := range open {
-		if x.timer != nil {
-			x.timer.Stop()
-		}
+		x.timer.Stop()
 		x.over(lost(c.out.Whole(x.end)), nil)
 	}
 }
@@ -174,14 +172,12 @@
 	do := leave
 	switch {
 	case c.ended:
-	case len(c.open) > 0:
+	case len(c.open) > 0 || c.asked > 0: // one that was asked stays under suspicion though its calls have ended
 		if do = silent(now, c.heard, c.asked, b.cfg.Patience); do == askIt {
 			c.asked = now
 		}
 	case now-c.since > b.lim.lifeIdle || c.p.withdrawn.Load():
 		do = endIt
-	default:
-		c.asked = 0 // nothing hangs on it any more; a frame that comes later is a stray
 	}
 	if now-c.swept > b.cfg.Forget/4 {
 		c.swept = now
@@ -191,14 +187,14 @@
 			}
 		}
 	}
-	idle := len(c.open) == 0
+	dead := c.asked > 0
 	c.mu.Unlock()
 	switch do {
 	case askIt:
 		b.Counts.Pings.Add(1)
 		c.out.Send(appendFrame(nil, codePing, b.ids.Add(1), nil, nil))
 	case endIt:
-		if !idle {
+		if dead {
 			b.Counts.Dead.Add(1)
 		}
 		c.out.Close() // the reader ends what is open
--- a/backend/frame/frame.go
+++ b/backend/frame/frame.go
@@ -197,8 +197,6 @@
 	within time.Duration
 	start  time.Duration
 
-	counts bool // it is a call: Seen tells of it
-
 	mu        sync.Mutex
 	cancel    context.CancelFunc // of the dial
 	cancelled bool
@@ -209,7 +207,6 @@
 // Send starts an attempt; done is called once, never by Send itself.
 func (b *Backend) Send(a backend.Attempt, done func(backend.Result)) backend.Running {
 	t := &attempt{b: b, within: a.Within, start: b.cfg.Clock.Now()}
-	t.counts = true
 	t.ended = func(o choice.Outcome, ans *answer) {
 		res := backend.Result{Outcome: o, Took: b.cfg.Clock.Now() - t.start}
 		if ans != nil {
@@ -344,7 +341,7 @@
 		return false
 	}
 	t.c = c
-	if t.counts {
+	if !t.x.order {
 		c.p.open.Add(1)
 	}
 	return true
@@ -459,10 +456,11 @@
 	over, c := t.over, t.c
 	t.over = true
 	t.mu.Unlock()
-	if !over && c != nil && t.counts {
-		t.tally(c.p, o)
+	if over {
+		return
 	}
-	if !over {
-		t.ended(o, a)
+	if c != nil && !t.x.order {
+		t.tally(c.p, o)
 	}
+	t.ended(o, a)
 }
--- a/backend/frame/frame_test.go
+++ b/backend/frame/frame_test.go
@@ -469,3 +469,138 @@
 		}
 	})
 }
+
+// TestSuspicionStays: a connection whose ping is out stays under suspicion though nothing is open on it any more.
+func TestSuspicionStays(t *testing.T) {
+	pinged, conns := make(chan struct{}, 10), make(chan int, 10)
+	addr := invoker(t, func(n int, c *net.TCPConn) {
+		for {
+			g, err := readCommand(c)
+			switch {
+			case err != nil:
+				return
+			case g.code == codePing:
+				pinged <- struct{}{}
+			case g.code == codeCall && n == 0:
+				conns <- n
+			case g.code == codeCall:
+				conns <- n
+				c.Write(reply(codeOK, g.id, "", "answer"))
+			}
+		}
+	})
+	clk := clock.NewManual(time.Unix(1e9, 0))
+	b := start(t, addr, func(c *Config) { c.Clock, c.Patience = clk, time.Minute })
+	over := make(chan backend.Result, 1)
+	first := b.Send(call(1), func(r backend.Result) { over <- r })
+	<-conns
+	clk.Advance(61 * time.Second)
+	b.check()
+	<-pinged
+	first.Cancel()
+	<-over
+	b.check()
+	if r := run(b, call(2)); r.Outcome != choice.OK {
+		t.Errorf("the next call: %v", r.Outcome)
+	}
+	if n := <-conns; n == 0 {
+		t.Error("it went on the connection under suspicion")
+	}
+	clk.Advance(61 * time.Second)
+	b.check()
+	for b.Seen()[0].Conns > 1 { // the dead one is ended, and its reader ends soon after
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestHalfWritten: a call whose first byte went out before its worker began to drain comes whole; none begins afterwards, also
+// not one that found no room in the kernel's buffers.
+func TestHalfWritten(t *testing.T) {
+	begin, commands := make(chan struct{}), make(chan got, 100)
+	addr := invoker(t, func(_ int, c *net.TCPConn) {
+		<-begin
+		for {
+			g, err := readCommand(c)
+			if err != nil {
+				return
+			}
+			commands <- g
+			c.Write(reply(codeOK, g.id, "", "answer"))
+		}
+	})
+	b := start(t, addr, func(c *Config) { c.Conns, c.MostBody = 1, 64<<20 })
+	a := call(1)
+	a.Body = make([]byte, 32<<20) // more than the kernel holds
+	over := make(chan backend.Result, 2)
+	b.Send(a, func(r backend.Result) { over <- r })
+	for b.Seen()[0].Open == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.Update([]backend.Endpoint{{ID: 1, Name: "w", Network: "tcp", Addr: addr}})
+	if r := run(b, call(2)); r.Outcome != choice.Moot && r.Outcome != choice.ConnectFailed {
+		t.Errorf("a call after the drain: %v", r.Outcome)
+	}
+	close(begin)
+	if r := <-over; r.Outcome != choice.OK {
+		t.Errorf("half written: %v", r.Outcome)
+	}
+	if g := <-commands; g.id != 1 || len(g.body) != 32<<20 || len(commands) > 0 {
+		t.Errorf("came: %d with %d bytes, and %d more", g.id, len(g.body), len(commands))
+	}
+}
+
+// TestLateAnswer: an answer after its time, on a connection used again, is nobody's.
+func TestLateAnswer(t *testing.T) {
+	commands, late := make(chan got, 10), make(chan struct{})
+	addr := invoker(t, func(_ int, c *net.TCPConn) {
+		for {
+			g, err := readCommand(c)
+			if err != nil {
+				return
+			}
+			commands <- g
+			if g.code == codeCall && g.id == 2 {
+				c.Write(reply(codeOK, 1, "", "late"))
+				c.Write(reply(codeOK, 2, "", "answer"))
+				close(late)
+			}
+		}
+	})
+	b := start(t, addr, nil)
+	a := call(1)
+	a.Within = time.Millisecond
+	if r := run(b, a); r.Outcome != choice.TimedOut {
+		t.Fatalf("no answer in time: %v", r.Outcome)
+	}
+	if r := run(b, call(2)); string(r.Body) != "answer" {
+		t.Errorf("the next call: %v, %q", r.Outcome, r.Body)
+	}
+	<-late
+	if b.Counts.Opened.Load() != 1 || b.Counts.Strays.Load() != 1 {
+		t.Errorf("%d connections, %d strays", b.Counts.Opened.Load(), b.Counts.Strays.Load())
+	}
+}
+
+// TestIdleReset: an idle connection that is reset is not used again, and nothing is lost by it.
+func TestIdleReset(t *testing.T) {
+	conns := make(chan *net.TCPConn, 10)
+	addr := invoker(t, func(_ int, c *net.TCPConn) {
+		g, err := readCommand(c)
+		if err == nil {
+			c.Write(reply(codeOK, g.id, "", "answer"))
+			conns <- c
+			hold(c)
+		}
+	})
+	b := start(t, addr, nil)
+	run(b, call(1))
+	c := <-conns
+	c.SetLinger(0)
+	c.Close()
+	for b.Seen()[0].Conns > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if r := run(b, call(2)); r.Outcome != choice.OK || b.Counts.LostNew.Load()+b.Counts.LostUsed.Load() != 0 {
+		t.Errorf("%v, %d lost", r.Outcome, b.Counts.LostNew.Load()+b.Counts.LostUsed.Load())
+	}
+}
--- a/controller/peers.go
+++ b/controller/peers.go
@@ -60,7 +60,7 @@
 	}
 	b = append(b, payload...)
 	for n, a := range p.to {
-		if n == to || to == choice.Everyone {
+		if n == to || to == choice.Everyone && n != p.me {
 			p.conn.WriteToUDP(b, a)
 		}
 	}
--- a/front/msgpackrpc/front.go
+++ b/front/msgpackrpc/front.go
@@ -147,8 +147,10 @@
 		case soonVictim:
 			return c, true
 		default:
+			if old = list[i]; !old.leave() { // it has just begun a request
+				return c, true
+			}
 			f.Counts.Evicted.Add(1)
-			old = list[i]
 			delete(f.conns, old)
 		}
 	}
@@ -173,7 +175,7 @@
 		f.mu.Lock()
 		var l []*conn
 		for c := range f.conns {
-			if shut(c.seat(), c.inMessage.Load(), now, f.cfg.Within) {
+			if shut(c.seat(), c.inMessage.Load(), now, f.cfg.Within) && c.leave() {
 				l = append(l, c)
 			}
 		}
@@ -241,8 +243,9 @@
 	inMessage atomic.Bool
 	faults    int // the reader's
 
-	mu   sync.Mutex
-	open map[uint32]*openCall // by msgid
+	mu      sync.Mutex
+	open    map[uint32]*openCall // by msgid
+	leaving bool                 // it is being closed, with nothing open: nothing more is taken
 }
 
 type openCall struct {
@@ -257,6 +260,14 @@
 	return seat{spoke: c.spoke.Load(), open: n, since: time.Duration(c.since.Load())}
 }
 
+// leave bars the connection from taking a request, if it has none open: its client sends what crosses the close again.
+func (c *conn) leave() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = c.leaving || len(c.open) == 0
+	return c.leaving
+}
+
 // touch notes a sign of life.
 func (c *conn) touch() { c.since.Store(int64(c.f.cfg.Clock.Now())) }
 
@@ -338,6 +349,11 @@
 	}
 	o, id := &openCall{txn: p.txn}, m.id
 	c.mu.Lock()
+	if c.leaving {
+		c.mu.Unlock()
+		c.f.end(p.txn)
+		return false
+	}
 	c.open[id] = o
 	c.mu.Unlock()
 	p.call.Deliver = func(a gateway.Answer) { c.deliver(id, o, a) }
--- a/front/msgpackrpc/front_test.go
+++ b/front/msgpackrpc/front_test.go
@@ -481,3 +481,35 @@
 		}
 	}
 }
+
+// TestEvictedTakesNothing: between the choice of whom to close and the close, a request may be read. It must not be taken: its
+// client sends it again, and it would run twice.
+func TestEvictedTakesNothing(t *testing.T) {
+	r := serve(t, nil)
+	c := r.dial(t)
+	c.put(request(t, 1, "status", map[string]string{}))
+	c.answer()
+	r.mu.Lock()
+	var seat *conn
+	for o := range r.conns {
+		seat = o
+	}
+	r.mu.Unlock()
+	if !seat.leave() {
+		t.Fatal("an idle connection stays")
+	}
+	c.put(request(t, 2, "lookup", good(), []byte("x")))
+	if _, got := c.answer(); got != "closed" || len(r.g.came) > 0 {
+		t.Errorf("%s, %d came to the gateway", got, len(r.g.came))
+	}
+	busy := r.dial(t)
+	busy.put(request(t, 1, "lookup", good(), []byte("x")))
+	<-r.g.came
+	r.mu.Lock()
+	for o := range r.conns {
+		if o != seat && o.leave() {
+			t.Error("a connection with a request open leaves")
+		}
+	}
+	r.mu.Unlock()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,8 @@
 )
 
 // A Carrier sends attempts, orders and questions to workers. backend.Backend and frame.Backend are. Send and Hold must
-// not wait for the network, and what they call back runs on another goroutine, once.
+// not wait for the network, and call back once, on another goroutine; Cancel of what they
+// began may call back itself.
 type Carrier interface {
 	Send(backend.Attempt, func(backend.Result)) backend.Running
 	Hold(backend.Order, func(choice.Outcome, int, time.Duration))
@@ -134,6 +135,7 @@
 	// Progress, where set, is told of each attempt that goes out, and whether it may wait for a load. It must not block.
 	Progress func(attempt int, worker string, load bool)
 	verdict  advice.Verdict
+	at       time.Duration // when it was submitted
 }
 
 // Counts of what was answered, and of the loop.
@@ -252,6 +254,7 @@
 		g.Counts.Turned.Add(1)
 		return 0, false
 	}
+	c.at = g.cfg.Clock.Now()
 	g.calls[id] = c
 	g.in = append(g.in, choice.Arrival{Request: id, Class: f.Class, Tenant: c.Tenant, Function: f.ID, Expires: c.Expires,
 		Hint: c.Hint, HasHint: c.Hint > 0, MemoryMB: f.MemoryMB, Lanes: f.Lanes, LoadTime: f.LoadTime, Retry: c.Retry,
@@ -338,10 +341,13 @@
 // step is one turn: events in, actions out.
 func (g *Gateway) step(now time.Duration) {
 	events, calls, results := g.take()
-	for _, e := range events {
+	for i, e := range events {
 		switch e := e.(type) {
 		case choice.Arrival:
-			g.table[e.Request] = &entry{call: calls[e.Request], at: now}
+			c := calls[e.Request]
+			g.table[e.Request] = &entry{call: c, at: c.at}
+			e.Expires -= now - c.at // it has waited for the loop
+			events[i] = e
 		case choice.HungUp:
 			if r := g.table[e.Request]; r != nil && r.claim(Gone) {
 				g.answer(e.Request, r, Answer{Kind: Gone}, now)
@@ -762,7 +768,7 @@
 	for _, e := range events {
 		switch e := e.(type) {
 		case choice.Arrival:
-			g.table[e.Request] = &entry{call: calls[e.Request], at: now}
+			g.table[e.Request] = &entry{call: calls[e.Request], at: calls[e.Request].at}
 		case choice.Returned:
 			g.returned(e, results[result{e.Request, e.Attempt}], now)
 		}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -446,3 +446,25 @@
 		}
 	}
 }
+
+// TestLag: a loop that comes late to a call takes the delay off the time that the client still waits.
+func TestLag(t *testing.T) {
+	g, _, clk, _ := fixed(t)
+	var got []Answer
+	call(t, g, 0, &got) // for 2 s
+	clk.Advance(1500 * ms)
+	for at := 1500 * ms; at <= 2*time.Second; at += 10 * ms {
+		g.step(clk.Now())
+		clk.Advance(10 * ms)
+	}
+	if len(got) != 1 {
+		t.Errorf("%d answers after 2 s, where the loop came 1.5 s late", len(got))
+	}
+	got = nil
+	call(t, g, 0, &got)
+	clk.Advance(3 * time.Second)
+	g.step(clk.Now())
+	if len(got) != 1 || got[0].Kind != Refused {
+		t.Errorf("%+v to a call whose time was up before the loop came, want it refused at once", got)
+	}
+}
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -14,7 +14,7 @@
 // An Outbox belongs to one connection. It is safe for concurrent use.
 type Outbox struct {
 	conn  net.Conn
-	raw   syscall.RawConn // nil: every write is left to the flusher
+	raw   syscall.RawConn // nil: every write is left to the flusher, and nothing can begin
 	most  int             // bytes that may wait
 	stall time.Duration   // without progress, until the reader is given up
 
@@ -44,6 +44,29 @@
 func (o *Outbox) Send(b []byte) (end uint64, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	return o.send(b)
+}
+
+// Begin hands a message over as Send does, but only if its first byte goes out at once; else nothing of it ever does.
+func (o *Outbox) Begin(b []byte) (end uint64, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.flushing || o.closed || o.raw == nil {
+		return 0, false
+	}
+	n := o.try(b)
+	o.end += uint64(n)
+	if n == 0 || n == len(b) {
+		return o.end, n > 0
+	}
+	whole := o.end + uint64(len(b)-n)
+	if !o.closed {
+		o.send(b[n:])
+	}
+	return whole, true
+}
+
+func (o *Outbox) send(b []byte) (end uint64, ok bool) {
 	if !o.closed && o.flushing && len(o.waiting)+len(b) > o.most {
 		o.close()
 	}
--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -60,6 +60,37 @@
 	}
 }
 
+// TestBegin: a message goes out from its first byte on at once, or never.
+func TestBegin(t *testing.T) {
+	ours, theirs := pair(t)
+	o := New(ours, 1<<30, time.Minute)
+	m := bytes.Repeat([]byte("x"), 100<<10)
+	sum := 0
+	for ok := true; ok; { // until a part waits, or the kernel takes nothing
+		if _, ok = o.Begin(m); ok {
+			sum += len(m)
+		}
+	}
+	for range 3 {
+		if _, ok := o.Begin([]byte("never")); ok {
+			t.Fatal("it began where bytes wait")
+		}
+	}
+	got := make([]byte, sum)
+	if _, err := io.ReadFull(theirs, got); err != nil || bytes.Contains(got, []byte("never")) {
+		t.Fatalf("%v, or what never began", err)
+	}
+	for o.Busy() {
+		time.Sleep(time.Millisecond)
+	}
+	if end, ok := o.Begin([]byte("last")); !ok || end != uint64(sum+4) {
+		t.Errorf("end %d, %v, want %d", end, ok, sum+4)
+	}
+	if _, err := io.ReadFull(theirs, got[:4]); err != nil || string(got[:4]) != "last" {
+		t.Errorf("%q, %v", got[:4], err)
+	}
+}
+
 func TestSlowReader(t *testing.T) {
 	tests := []struct {
 		name  string
