--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,7 +12,6 @@
 
 	"github.com/rs/zerolog"
 
-	"kitehub/backend"
 	"kitehub/backend/frame"
 	"kitehub/choice"
 	"kitehub/controller"
@@ -29,11 +28,10 @@
 	service  = "_app._tcp.cluster.lan"
 )
 
-// Options are what a configuration does not say. Rigs set Dial and Clock.
+// Options are what a configuration does not say.
 type Options struct {
 	Clock clock.Clock
 	Log   zerolog.Logger
-	Dial  backend.DialFunc // to workers; nil: the machine's
 }
 
 // A Relay runs until Stop.
@@ -53,7 +51,7 @@
 func Start(c *Config, o Options) (r *Relay, err error) {
 	s, b := c.Settings, divide(c.Limits)
 	r = &Relay{cfg: c, log: o.Log, done: make(chan struct{})}
-	r.Backend = frame.New(frame.Config{Clock: o.Clock, Dial: o.Dial, Within: s.Limits.Dial, Idle: s.Limits.KeepAlive, Streams: s.Limits.Streams,
+	r.Backend = frame.New(frame.Config{Clock: o.Clock, Within: s.Limits.Dial, Idle: s.Limits.KeepAlive, Streams: s.Limits.Streams,
 		Conns: b.workers, MostBody: b.mostBody, Patience: s.Limits.Dial, Forget: time.Duration(lateAnswer * float64(longest(s))),
 		Order: s.Loading.Answer, Report: s.Report, Log: o.Log})
 	defer func() {
