A stop answers all it took before the platform kills; connections end in order

In the logs a controller told to stop at 5.526 s had no word after it and served again at 9.929 s: it was killed. Ruled out: late first answers after a start (restarts took 0.0 to 0.1 s) and connections left unaccepted ("0 not taken").

Mended by reading, each with a test that forces the order: - relay.Run dropped SIGHUP after SIGTERM, though drains must be learned while requests are in hand; it ended at a second SIGTERM and left what it held; four reloads in its channel could crowd out the SIGTERM. Now reloads and stops have a channel each, a second SIGTERM is logged, a second SIGINT ends at once. - Front.Close dropped answers still in an outbox, and closed connections with bytes unread, which resets them.

--- a/backend/frame/conn.go
+++ b/backend/frame/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,7 +52,7 @@
 	defer c.mu.Unlock()
 	_, open := c.open[id]
 	_, past := c.past[id]
-	return view{out: len(c.open), since: c.since, suspect: c.asked > 0 || c.ended || c.out.Busy(), knows: open || past}
+	return view{out: len(c.open), since: c.since, suspect: c.asked > 0 || c.ended || c.out.Busy(), used: c.uses > 0, knows: open || past}
 }
 
 // start puts an exchange into the table and its frame on the wire. fit is asked at the last moment before the first byte;
@@ -165,6 +166,19 @@
 	}
 }
 
+// evict closes an idle connection and frees its place at once; false if something was put on it meanwhile.
+func (c *conn) evict() bool {
+	c.mu.Lock()
+	idle := !c.ended && c.uses > 0 && len(c.open) == 0
+	c.ended = c.ended || idle
+	c.mu.Unlock()
+	if idle {
+		c.out.Close()
+		c.p.remove(c)
+	}
+	return idle
+}
+
 // check is called now and then: it asks a silent connection, ends a dead or an idle one, and forgets old ids.
 func (c *conn) check(now time.Duration) {
 	b := c.p.b
@@ -221,15 +235,13 @@
 	closed   bool
 }
 
+// remove takes a connection off the list, once.
 func (p *peer) remove(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, o := range p.conns {
-		if o == c {
-			p.conns = append(p.conns[:i], p.conns[i+1:]...)
-			p.b.held.Add(-1)
-			return
-		}
+	if i := slices.Index(p.conns, c); i >= 0 {
+		p.conns = slices.Delete(p.conns, i, i+1)
+		p.b.held.Add(-1)
 	}
 }
 
--- a/backend/frame/frame.go
+++ b/backend/frame/frame.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -288,6 +289,9 @@
 		return
 	}
 	c, found := t.b.place(p, t.x.id, most)
+	if c == nil && found == noPlace && t.b.evictIdle(p) {
+		c, found = t.b.place(p, t.x.id, most)
+	}
 	switch {
 	case c != nil && t.put(c):
 	case found == dialOne:
@@ -325,6 +329,30 @@
 	return nil, i
 }
 
+// evictIdle closes the connection of another worker that has been idle longest, where all that may be open are: a worker that has
+// none must not wait for those that have more than they use. It tells whether one was closed.
+func (b *Backend) evictIdle(p *peer) bool {
+	if int(b.held.Load()) < b.cfg.Conns {
+		return false
+	}
+	b.mu.RLock()
+	others := slices.Concat(slices.Collect(maps.Values(b.peers)), b.old)
+	b.mu.RUnlock()
+	var longest *conn
+	var since time.Duration
+	for _, o := range others {
+		if o == p {
+			continue
+		}
+		for _, c := range o.list() {
+			if v := c.view(0); v.out == 0 && v.used && (longest == nil || v.since < since) {
+				longest, since = c, v.since
+			}
+		}
+	}
+	return longest != nil && longest.evict()
+}
+
 // put starts the exchange on a connection; false if nothing went out.
 func (t *attempt) put(c *conn) bool {
 	t.mu.Lock()
--- a/backend/frame/pick.go
+++ b/backend/frame/pick.go
@@ -7,6 +7,7 @@
 	out     int           // exchanges open on it
 	since   time.Duration // when it was last used
 	suspect bool          // a ping is out, or bytes wait to be written: it may be dead
+	used    bool          // an exchange has begun on it; else the one that had it opened is about to
 	knows   bool          // this id was used on it: a late answer to the earlier use would pass for this one's
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -171,10 +171,11 @@
 	d.open = kept
 }
 
-// hopeless tells whether a queued request is given up, and answered at once: it does not pass, is out of time
-// (a mean that says so of a new one is lowered, or a wrong one would stay), or no worker may have it again.
+// hopeless tells whether a queued request is given up, and answered at once: it does not pass, no worker may
+// have it again, or no run fits its time (a mean too long for a new one is lowered; with none, its class's).
 func (d *Dispatcher) hopeless(r *request) bool {
-	over := r.q.run > 0 && d.now+seconds(r.q.run) >= r.final
+	run := cmp.Or(r.q.run, min(d.classRun[r.Class], guessRun*r.Expires.Seconds()))
+	over := d.now+seconds(run) >= r.final
 	if over && d.now == r.at {
 		r.q.run = mean(r.q.run, 0)
 	}
@@ -262,12 +263,10 @@
 	}
 	r.waiting = true
 	d.activate(r.q)
-	p := r.q.pending
-	i := len(p)
-	for i > 0 && p[i-1].at > r.at {
-		i--
-	}
-	r.q.pending = slices.Insert(p, i, r)
+	i, _ := slices.BinarySearchFunc(r.q.pending, r.at+1, func(o *request, after time.Duration) int {
+		return cmp.Compare(o.at, after)
+	})
+	r.q.pending = slices.Insert(r.q.pending, i, r)
 }
 
 func (d *Dispatcher) unqueue(r *request) {
--- a/choice/mechanism_test.go
+++ b/choice/mechanism_test.go
@@ -250,3 +250,26 @@
 		t.Error("one error after ten answers is enough")
 	}
 }
+
+// TestGivenUpUnserved: a call of a function that was never served is given up a run of its class before its time is over, not at
+// the last moment that an answer can still arrive in; and one with little time is not given up as it comes.
+func TestGivenUpUnserved(t *testing.T) {
+	d := start(t, base()) // no worker is known
+	now := 2 * time.Second
+	if l := d.Step(now, []Event{arrival(1, 0, 7), Arrival{Request: 2, Function: 8, Expires: 100 * ms, Lanes: 2}}); len(pickOut[Refuse](l)) > 0 {
+		t.Fatal("given up as they came")
+	}
+	run := seconds(guessRun * 0.5) // of the aim
+	at := map[RequestID]time.Duration{}
+	for end := now + 4*time.Second; now < end; now += 2 * ms {
+		for _, r := range pickOut[Refuse](d.Step(now, nil)) {
+			at[r.Request] = now - 2*time.Second
+		}
+	}
+	if got, latest := at[1], 3*time.Second-run; got == 0 || got > latest || got < latest-10*ms {
+		t.Errorf("given up after %v of 3s, want a run of %v before its end", got, run)
+	}
+	if got := at[2]; got < 60*ms || got > 75*ms {
+		t.Errorf("given up after %v of 100ms, want a quarter of it before its end", got)
+	}
+}
--- a/front/msgpackrpc/front.go
+++ b/front/msgpackrpc/front.go
@@ -11,7 +11,9 @@
 import (
 	"bufio"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -62,6 +64,7 @@
 	txns   map[uint64]struct{} // of open requests: one that is open is not taken again
 	closed bool
 	done   chan struct{}
+	empty  chan struct{} // nil until Finish; closed when no connection is left
 }
 
 // New returns a front that serves nothing yet.
@@ -197,6 +200,45 @@
 	return len(f.conns)
 }
 
+// Finish ends the connections in order, once the gateway has answered all that it took: answers that wait go out, then our half of
+// each connection ends, and the client closes the other. It returns when all have, or the time is up; what comes meanwhile on new
+// connections is answered by the gateway's refusal.
+func (f *Front) Finish(within time.Duration) {
+	f.mu.Lock()
+	if f.closed || f.empty != nil {
+		f.mu.Unlock()
+		return
+	}
+	f.empty = make(chan struct{})
+	f.noneLeft()
+	l := slices.Collect(maps.Keys(f.conns))
+	f.mu.Unlock()
+	for _, c := range l {
+		c.mu.Lock()
+		c.leaving, c.finished = true, true
+		c.mu.Unlock()
+		c.out.Finish()
+	}
+	t := time.NewTimer(within)
+	defer t.Stop()
+	select {
+	case <-f.empty:
+	case <-t.C:
+	}
+}
+
+// noneLeft tells Finish when the last connection has ended. The lock is held.
+func (f *Front) noneLeft() {
+	if f.empty == nil || len(f.conns) > 0 {
+		return
+	}
+	select {
+	case <-f.empty:
+	default:
+		close(f.empty)
+	}
+}
+
 // Close ends all connections; Serve returns once its listener is closed as well.
 func (f *Front) Close() {
 	f.mu.Lock()
@@ -246,6 +288,9 @@
 	mu      sync.Mutex
 	open    map[uint32]*openCall // by msgid
 	leaving bool                 // it is being closed, with nothing open: nothing more is taken
+	// finished: our half has ended, or will. What the client still sends is read and dropped: to close with bytes unread would
+	// reset the connection, and the last answers might be lost with it.
+	finished bool
 }
 
 type openCall struct {
@@ -298,6 +343,19 @@
 		c.inMessage.Store(false)
 		c.spoke.Store(true)
 		if !c.take(&m) {
+			c.discard(d.r)
+			return
+		}
+	}
+}
+
+// discard reads until the client ends, where our half has ended in order.
+func (c *conn) discard(r *bufio.Reader) {
+	c.mu.Lock()
+	finished := c.finished
+	c.mu.Unlock()
+	for finished {
+		if _, err := r.Discard(readBuffer); err != nil {
 			return
 		}
 	}
@@ -439,6 +497,7 @@
 	c.out.Close()
 	c.f.mu.Lock()
 	delete(c.f.conns, c)
+	c.f.noneLeft()
 	c.f.mu.Unlock()
 	c.mu.Lock()
 	open := c.open
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -700,7 +700,6 @@
 }
 
 // crashed answers all that is open and begins anew: a fault in the module costs what it knew, not the process.
-// What was sent may have run, so only what was never sent is refused.
 func (g *Gateway) crashed(err error, now time.Duration) {
 	g.Counts.Crashes.Add(1)
 	g.cfg.Log.Error().Err(err).Int("open", g.Open()).Msg("all open requests are answered, the module starts anew")
@@ -718,6 +717,7 @@
 	g.poke()
 }
 
+// answerAll answers all that is open: refused where another try does no harm, as it is known never to have run or may run twice.
 func (g *Gateway) answerAll(now time.Duration) {
 	for _, id := range sortedKeys(g.table) {
 		r := g.table[id]
@@ -726,13 +726,16 @@
 				run.Cancel()
 			}
 		}
-		k := Refused
-		if len(r.tries) > 0 {
-			k = Failed
+		if r.noted {
+			continue
+		}
+		k := Failed
+		if !r.mayHaveRun() || g.cfg.Settings.Classes[r.call.Function.Class].Effect == choice.Safe {
+			k = Refused
 		}
 		if r.claim(k) {
 			g.answer(id, r, Answer{Kind: k}, now)
-		} else if !r.noted { // answered, and its event was not taken in
+		} else { // answered, and its event was not taken in
 			g.note(id, r, Answer{Kind: Kind(r.claimed.Load())}, now)
 		}
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -468,3 +468,37 @@
 		t.Errorf("%+v to a call whose time was up before the loop came, want it refused at once", got)
 	}
 }
+
+// TestAnswerAll: what is open when the loop ends is refused where another try does no harm, and has failed where it may have run.
+func TestAnswerAll(t *testing.T) {
+	for class, want := range map[int]Kind{0: Refused, 1: Failed} {
+		g, c, clk, _ := fixed(t)
+		if effect := g.cfg.Settings.Classes[class].Effect; (effect == choice.Safe) != (want == Refused) {
+			t.Fatalf("class %d is %v", class, effect)
+		}
+		var out, full []Answer
+		call(t, g, class, &out)
+		g.step(clk.Now())
+		if c.send(0) == nil {
+			t.Fatal("it is not out")
+		}
+		g.answerAll(clk.Now())
+		if len(out) != 1 || out[0].Kind != want {
+			t.Errorf("class %d, with an attempt out: %+v, want %v", class, out, want)
+		}
+		g, c, clk, _ = fixed(t)
+		call(t, g, class, &full)
+		g.step(clk.Now())
+		c.send(0)(backend.Result{Outcome: choice.Full, Took: ms})
+		events, _, results := g.take()
+		for _, e := range events {
+			if e, ok := e.(choice.Returned); ok {
+				g.returned(e, results[result{e.Request, e.Attempt}], clk.Now())
+			}
+		}
+		g.answerAll(clk.Now())
+		if len(full) != 1 || full[0].Kind != Refused {
+			t.Errorf("class %d, with an attempt that never ran: %+v, want a refusal", class, full)
+		}
+	}
+}
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -22,6 +22,7 @@
 	waiting  []byte
 	spare    []byte
 	flushing bool
+	finished bool // nothing more is taken; our half ends once what waits is out
 	closed   bool
 	taken    uint64 // bytes that the kernel has taken
 	end      uint64 // bytes handed over
@@ -51,7 +52,7 @@
 func (o *Outbox) Begin(b []byte) (end uint64, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.flushing || o.closed || o.raw == nil {
+	if o.flushing || o.finished || o.closed || o.raw == nil {
 		return 0, false
 	}
 	n := o.try(b)
@@ -70,7 +71,7 @@
 	if !o.closed && o.flushing && len(o.waiting)+len(b) > o.most {
 		o.close()
 	}
-	if o.closed {
+	if o.closed || o.finished {
 		return o.end + uint64(max(1, len(b))), false // never whole
 	}
 	o.end += uint64(len(b))
@@ -127,6 +128,9 @@
 		o.mu.Lock()
 		if len(o.waiting) == 0 || o.closed {
 			o.flushing, o.waiting, o.spare = false, nil, nil
+			if o.finished {
+				o.endWrites()
+			}
 			o.mu.Unlock()
 			return
 		}
@@ -159,6 +163,26 @@
 	}
 }
 
+// Finish takes no more messages. What waits still goes out, and then our half of the connection ends: the other side reads all
+// of it and then the end. To close the connection is left to the owner.
+func (o *Outbox) Finish() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.finished || o.closed {
+		return
+	}
+	o.finished = true
+	if !o.flushing {
+		o.endWrites()
+	}
+}
+
+func (o *Outbox) endWrites() {
+	if c, ok := o.conn.(interface{ CloseWrite() error }); !o.closed && (!ok || c.CloseWrite() != nil) {
+		o.close()
+	}
+}
+
 // Close closes the connection. What waits is dropped.
 func (o *Outbox) Close() {
 	o.mu.Lock()
--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -144,3 +144,32 @@
 		t.Fatal("the sender hangs")
 	}
 }
+
+// TestFinish: what waits for a slow reader when the outbox is finished comes whole, and then the end.
+func TestFinish(t *testing.T) {
+	for _, size := range []int{10, 4 << 20} { // all out at once, and most of it waiting
+		ours, theirs := pair(t)
+		o := New(ours, 8<<20, time.Minute)
+		want := bytes.Repeat([]byte("x"), size)
+		if _, ok := o.Send(want); !ok || o.Busy() != (size > 10) {
+			t.Fatalf("%d bytes: sent %v, busy %v", size, ok, o.Busy())
+		}
+		o.Finish()
+		o.Finish()
+		if _, ok := o.Send([]byte("more")); ok {
+			t.Error("a message is taken after the end")
+		}
+		if _, ok := o.Begin([]byte("more")); ok {
+			t.Error("a message begins after the end")
+		}
+		if got, err := io.ReadAll(theirs); err != nil || !bytes.Equal(got, want) {
+			t.Errorf("%d bytes of %d, %v", len(got), size, err)
+		}
+		if _, err := theirs.Write([]byte("still")); err != nil { // the other half is the owner's to close
+			t.Error(err)
+		}
+		if n, err := ours.Read(make([]byte, 10)); n != 5 || err != nil {
+			t.Errorf("%d bytes came back, %v", n, err)
+		}
+	}
+}
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -54,6 +54,17 @@
 	return d
 }
 
-// lingering is how long after SIGTERM requests may still come, by the platform's PROTOCOL page: new connections for up to
+// lameDuck is how long after SIGTERM requests may still come, by the platform's PROTOCOL page: new connections for up to
 // 0.4 s, requests on open ones for 0.2 s more, and 0.1 s for the way. What comes later than that is not owed an answer.
-const lingering = 700 * time.Millisecond
+const lameDuck = 700 * time.Millisecond
+
+// The platform kills a controller that stops once lameDuck and its longest deadline are over, and counts no more than this for
+// the deadline (PROTOCOL): whatever is unanswered then is answered by nobody.
+const mostDeadline = 3 * time.Second
+
+// lastPart of the time for answers after lameDuck is kept for those given at its end to be written and read, and for the process to
+// end by itself before it is killed.
+const lastPart = 1.0 / 8
+
+// answerTime is how long after lameDuck requests in hand may still be answered.
+func answerTime(s choice.Settings) time.Duration { return min(longest(s), mostDeadline) }
--- a/relay/config.go
+++ b/relay/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"kitehub/choice"
+	"kitehub/discovery/dns"
 	"kitehub/gateway"
 	"kitehub/internal/wire"
 )
@@ -209,10 +210,11 @@
 	if c.Name == "" {
 		return problem(EnvName, "not set")
 	}
-	for _, a := range []struct{ field, addr string }{{EnvListen, c.Listen}, {"names", c.Names}} {
-		if _, _, err := net.SplitHostPort(a.addr); err != nil {
-			return &Problem{a.field, err}
-		}
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		return &Problem{EnvListen, err}
+	}
+	if _, err := dns.Address(c.Names); err != nil {
+		return &Problem{"names", err}
 	}
 	l := c.Limits
 	switch {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -103,15 +103,21 @@
 
 // Reload takes from a configuration read anew what may change in service: where the directory is.
 func (r *Relay) Reload(c *Config) {
+	if err := r.Watch.SetServer(c.Names); err != nil {
+		r.log.Error().Err(err).Msg("the new configuration is not taken, the old one stays")
+		return
+	}
 	r.log.Info().Str("names", c.Names).Msg("configuration read anew")
-	r.Watch.Turn(c.Names)
 }
 
-// Stop goes on taking requests for as long as the platform may still send any, answers all, and ends.
-func (r *Relay) Stop(linger time.Duration) {
+// Stop goes on taking requests for lameDuck, as long as the platform may still send any, then takes no more and answers what is in
+// hand within the time. What is left of that time's last part is for answers to reach their clients.
+func (r *Relay) Stop(lameDuck, within time.Duration) {
 	r.Front.Drain()
-	time.Sleep(linger)
-	r.Gateway.Stop(longest(r.cfg.Settings))
+	time.Sleep(lameDuck)
+	last := time.Duration(lastPart * float64(within))
+	r.Gateway.Stop(within - last)
+	r.Front.Finish(last)
 	r.ln.Close()
 	r.Front.Close()
 	r.Watch.Stop()
@@ -155,7 +161,7 @@
 			Int64("withdrawn", f.Withdrawn.Load()).
 			Int64("opened", b.Opened.Load()).Int64("dial_failed", b.DialFailed.Load()).Int64("lost_new", b.LostNew.Load()).Int64("lost_used", b.LostUsed.Load()).Int64("noise", b.Broken.Load()).Int64("strays", b.Strays.Load()).
 			Int64("pings", b.Pings.Load()).Int64("dead", b.Dead.Load()).Int64("no_place", b.NoPlace.Load()).
-			Int64("asked", w.Asked.Load()).Int64("lists", w.News.Load()).Int64("unfit", w.Unfit.Load()).Int64("silent", w.Silent.Load()).
+			Int64("asked", w.Asked.Load()).Int64("lists", w.Changed.Load()).Int64("unfit", w.Unfit.Load()).Int64("silent", w.Silent.Load()).
 			Uint64("heap_kb", m.HeapInuse>>10).Uint64("sys_kb", m.Sys>>10).Uint32("gc", m.NumGC).Int("goroutines", runtime.NumGoroutine()).Msg("so far")
 	}
 }
@@ -172,8 +178,16 @@
 	}
 }
 
-// Run is the whole life of a controller: until a signal ends it. SIGHUP reads the configuration again.
-func Run(env func(string) string, log zerolog.Logger, signals <-chan os.Signal) error {
+// Signals are what a controller is told by its platform. They come on two channels: one that is full of reloads must not cost
+// the request to stop.
+type Signals struct {
+	Reload <-chan os.Signal // read the configuration again
+	Stop   <-chan os.Signal
+}
+
+// Run is the whole life of a controller, until it is told to stop and has answered what it took. It reads the configuration anew
+// when told so, also while it stops: drains must still be learned while requests are in hand.
+func Run(env func(string) string, log zerolog.Logger, signals Signals) error {
 	c, err := Load(env)
 	if err != nil {
 		return err
@@ -186,31 +200,32 @@
 	}
 	log.Info().Str("listen", r.Addr()).Int("workers", len(c.Known)).Float64("cores", c.Limits.Cores).Float64("memory_mb", c.Limits.MemoryMB).
 		Int("sockets", c.Limits.Sockets).Msg("serving")
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			log.Info().Str("signal", sig.String()).Msg("stopping")
-			break
-		}
-		next, err := Load(env)
-		if err != nil {
-			log.Error().Err(err).Msg("the new configuration is not taken, the old one stays")
-			continue
-		}
-		r.Reload(next)
-	}
-	ended := make(chan struct{})
-	go func() {
-		r.Stop(lingering)
-		close(ended)
-	}()
+	var ended chan struct{} // nil until it is told to stop
 	for {
 		select {
 		case <-ended:
 			log.Info().Msg("stopped")
 			return nil
-		case sig, ok := <-signals:
-			if ok && sig != syscall.SIGHUP {
+		case <-signals.Reload:
+			next, err := Load(env)
+			if err != nil {
+				log.Error().Err(err).Msg("the new configuration is not taken, the old one stays")
+				continue
+			}
+			r.Reload(next)
+		case sig := <-signals.Stop:
+			switch {
+			case ended == nil:
+				log.Info().Str("signal", sig.String()).Msg("stopping")
+				ended = make(chan struct{})
+				go func() {
+					r.Stop(lameDuck, answerTime(c.Settings))
+					close(ended)
+				}()
+			case sig == os.Interrupt: // somebody at a terminal who will not wait
 				return fmt.Errorf("relay: ended by a second %s with %d requests open", sig, r.Gateway.Open())
+			default: // it is said twice: the requests in hand are worth no less for it
+				log.Info().Str("signal", sig.String()).Int("open", r.Gateway.Open()).Msg("stopping already")
 			}
 		}
 	}
