--- a/choice/cold_test.go
+++ b/choice/cold_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"testing"
 	"time"
 
@@ -22,12 +23,21 @@
 	within, coldFor      time.Duration
 	killed               float64
 	work, load           time.Duration
-	burst                float64 // times the rate, once the first copies may stand
+	burst                float64       // times the rate, once the first copies may stand
+	uneven               float64       // exponent of the Zipf law by which calls come to controllers; 0: evenly
+	late                 time.Duration // half of the controllers hear so much later that the workers are back
+	restarted            bool          // every third controller starts anew as they come back, and knows nothing else
 }
 
-// coldPeak plays it in virtual time against the model of workers and returns the most that a cold worker was sent in
-// a window, as a part of what pushes it over, and how many calls cold workers were sent and all were answered.
-func coldPeak(t *testing.T, c coldCase, seed uint64) (peak float64, cold, served int) {
+// A coldPlay is what came of a coldCase.
+type coldPlay struct {
+	peak         float64 // most that a cold worker was sent in a window, as a part of what the settings allow
+	over         float64 // the same as a part of the N + 2 x root of N + 2 calls of mean work that it stands, N being what they allow
+	cold, served int     // calls that cold workers were sent, and that were answered by any
+}
+
+// coldPeak plays it in virtual time against the model of workers.
+func coldPeak(t *testing.T, c coldCase, seed uint64) (p coldPlay) {
 	t.Helper()
 	const tick, functions = 2 * ms, 24
 	rng := rand.New(rand.NewPCG(seed, 5))
@@ -56,6 +66,13 @@
 		Guarantees: choice.Guarantees{DrainGrace: 500 * ms, ColdShare: c.share, ColdFor: c.coldFor, FallFactor: c.factor, FallWithin: c.within}}
 	now := time.Hour
 	f := fleet.New(cfg, now)
+	portions := make([]float64, c.controllers) // of the calls, up to and with each controller
+	for i := range portions {
+		portions[i] = math.Pow(float64(i+1), -c.uneven)
+		if i > 0 {
+			portions[i] += portions[i-1]
+		}
+	}
 	ds, inbox := make([]*choice.Dispatcher, c.controllers), make([][]choice.Event, c.controllers)
 	for i := range ds {
 		s.Me = i
@@ -90,7 +107,7 @@
 				o := map[fleet.Outcome]choice.Outcome{fleet.OK: choice.OK, fleet.Full: choice.Full, fleet.Reset: choice.Reset,
 					fleet.Failed: choice.Miss, fleet.Error: choice.Error}[e.Outcome]
 				if o == choice.OK {
-					served++
+					p.served++
 				}
 				inbox[k.controller] = append(inbox[k.controller], choice.Returned{Request: k.request, Attempt: k.attempt,
 					Worker: choice.WorkerID(k.worker + 1), Outcome: o, Took: now - k.sent, Note: choice.Note(e.Note), Alike: e.Alike})
@@ -112,13 +129,27 @@
 			}
 		}
 		if now == backAt {
-			l := slices.Clone(list[:dead])
-			for w := range l {
+			for w := range dead {
 				f.Start(w)
-				l[w].Started = now
+				list[w].Started = now
 			}
 			for i := range inbox {
-				inbox[i] = append(inbox[i], choice.List{Kind: choice.Delta, Workers: l})
+				if c.restarted && i%3 == 0 {
+					d, err := choice.New(s, seed*1000+uint64(c.controllers+i))
+					if err != nil {
+						t.Fatal(err)
+					}
+					ds[i], inbox[i] = d, []choice.Event{choice.List{Kind: choice.Cached, Workers: slices.Clone(list)}}
+				}
+			}
+		}
+		for i := range inbox {
+			told := backAt
+			if i%2 == 1 {
+				told += c.late
+			}
+			if now == told {
+				inbox[i] = append(inbox[i], choice.List{Kind: choice.Delta, Workers: slices.Clone(list[:dead])})
 			}
 		}
 		rate := c.rate
@@ -128,7 +159,7 @@
 		for ; arrive <= now; arrive += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
 			request++
 			n, _ := slices.BinarySearch(weights, rng.Float64()*weights[functions-1])
-			i := rng.IntN(c.controllers)
+			i := min(sort.SearchFloat64s(portions, rng.Float64()*portions[c.controllers-1]), c.controllers-1)
 			functionOf[request] = n
 			inbox[i] = append(inbox[i], choice.Arrival{Request: request, Function: choice.FunctionID(n + 1), Expires: 2500 * ms, Lanes: 2,
 				LoadTime: c.load + 80*ms})
@@ -154,11 +185,13 @@
 						continue
 					}
 					if at := f.Started(w); at > 0 && now < at+c.coldFor {
-						cold++
+						p.cold++
 						sent[w] = append(slices.DeleteFunc(sent[w], func(at time.Duration) bool { return at <= now-c.within }), now)
 						share := c.share + (1-c.share)*float64(now-at)/float64(c.coldFor)
 						can := cfg.Workers[w].Cores * cfg.Workers[w].Speed * share * c.within.Seconds()
-						peak = max(peak, float64(len(sent[w]))*c.work.Seconds()/(c.factor*can))
+						n := c.factor * can / c.work.Seconds()
+						p.peak = max(p.peak, float64(len(sent[w]))/n)
+						p.over = max(p.over, float64(len(sent[w]))/(n+2*math.Sqrt(n)+2))
 					}
 					calls[next] = k
 					f.Call(w, fleet.Call{ID: next, Function: &fns[functionOf[a.Request]], Work: c.work.Seconds() * (0.5 + rng.Float64()), Mean: 0})
@@ -194,7 +227,7 @@
 			}
 		}
 	}
-	return peak, cold, served
+	return p
 }
 
 // Wakes asked for, in the order of their times.
@@ -229,9 +262,9 @@
 			var over, sent, served int
 			const seeds = 4
 			for seed := range uint64(seeds) {
-				peak, n, all := coldPeak(t, c, seed+1)
-				most, sent, served = max(most, peak), sent+n, served+all
-				if peak > 1 {
+				p := coldPeak(t, c, seed+1)
+				most, sent, served = max(most, p.peak), sent+p.cold, served+p.served
+				if p.peak > 1 {
 					over++
 				}
 			}
@@ -245,3 +278,37 @@
 		})
 	}
 }
+
+// The sum of many controllers that share no word stays under what a cold worker stands, N + 2 x root of N + 2 calls, however
+// unevenly calls come to them, though some hear of the start late or have just started themselves; and cold workers are used.
+func TestColdBoundOfManyControllers(t *testing.T) {
+	for _, n := range []int{20, 30, 300} {
+		for _, c := range []coldCase{
+			{rate: 60, share: 0.2, factor: 3, within: 3 * time.Second, coldFor: 9 * time.Second, killed: 0.5, work: 150 * ms, load: time.Second},
+			{rate: 110, share: 0.3, factor: 3, within: 3 * time.Second, coldFor: 9 * time.Second, killed: 0.5, work: 150 * ms, load: time.Second, burst: 2},
+			{rate: 200, share: 0.25, factor: 2, within: time.Second, coldFor: 6 * time.Second, killed: 0.6, work: 60 * ms, load: 300 * ms, burst: 2},
+		} {
+			c.controllers, c.workers = n, 12
+			for _, uneven := range []float64{0, 1} {
+				c.uneven, c.late, c.restarted = uneven, 1500*ms, uneven > 0
+				t.Run(fmt.Sprintf("%d controllers, %v calls a second, uneven %v", n, c.rate, uneven), func(t *testing.T) {
+					t.Parallel()
+					var over float64
+					sent := 0
+					const seeds = 3
+					for seed := range uint64(seeds) {
+						p := coldPeak(t, c, seed+1)
+						over, sent = max(over, p.over), sent+p.cold
+					}
+					t.Logf("most %.2f of what it stands; %d calls to cold workers", over, sent)
+					if over > 1 {
+						t.Errorf("a cold worker was sent %.2f of what it stands", over)
+					}
+					if sent < 20*seeds {
+						t.Errorf("%d calls to cold workers, want them used", sent)
+					}
+				})
+			}
+		}
+	}
+}
