--- a/front/jsonrpc/call.go
+++ b/front/jsonrpc/call.go
@@ -136,7 +136,7 @@
 		left := h.left
 		c.mu.Unlock()
 		if left {
-			s.cfg.Gateway.HangUp(id)
+			s.cfg.Gateway.Cancel(id)
 		}
 	}
 	if !fn.Versions {
@@ -224,7 +224,7 @@
 	id, started := h.request, h.started
 	c.mu.Unlock()
 	if started {
-		s.cfg.Gateway.HangUp(id)
+		s.cfg.Gateway.Cancel(id)
 	}
 }
 
--- a/front/msgpackrpc/front.go
+++ b/front/msgpackrpc/front.go
@@ -11,9 +11,7 @@
 import (
 	"bufio"
 	"errors"
-	"maps"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -30,7 +28,7 @@
 // A Gateway takes calls. gateway.Gateway is one.
 type Gateway interface {
 	Submit(*gateway.Call) (choice.RequestID, bool)
-	HangUp(choice.RequestID)
+	Cancel(choice.RequestID)
 }
 
 // Config sets up a Front.
@@ -112,10 +110,10 @@
 func (f *Front) start(nc net.Conn) {
 	c := &conn{f: f, Conn: nc, out: outbox.New(nc, f.mostWaiting(), f.cfg.Stall), open: map[uint32]*openCall{}}
 	c.touch()
-	old, ok := f.seat(c)
+	old, ok := f.admit(c)
 	for ok && old == c { // nobody may be closed yet: the next to connect wait in the kernel's queue meanwhile
 		time.Sleep(f.cfg.Settings.Tick)
-		old, ok = f.seat(c)
+		old, ok = f.admit(c)
 	}
 	if !ok {
 		nc.Close()
@@ -130,24 +128,24 @@
 // gracePart of the time within which a client must speak is left to each that has just come or spoken.
 const gracePart = 16
 
-// seat gives a new connection a place. It returns who has to go for it, the new one itself if somebody may have to a
+// admit gives a new connection a place. It returns who has to go for it, the new one itself if somebody may have to a
 // little later, and false if there is no place.
-func (f *Front) seat(c *conn) (old *conn, ok bool) {
+func (f *Front) admit(c *conn) (old *conn, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closed {
 		return nil, false
 	}
 	if len(f.conns) >= f.cfg.Conns {
-		list, seats := make([]*conn, 0, len(f.conns)), make([]seat, 0, len(f.conns))
+		list, views := make([]*conn, 0, len(f.conns)), make([]connView, 0, len(f.conns))
 		for o := range f.conns {
-			list, seats = append(list, o), append(seats, o.seat())
+			list, views = append(list, o), append(views, o.view())
 		}
-		switch i := victim(seats, f.cfg.Clock.Now(), f.cfg.Within/gracePart); i {
-		case noVictim:
+		switch i := evictionCandidate(views, f.cfg.Clock.Now(), f.cfg.Within/gracePart); i {
+		case noCandidate:
 			f.Counts.Turned.Add(1)
 			return nil, false
-		case soonVictim:
+		case candidateSoon:
 			return c, true
 		default:
 			if old = list[i]; !old.leave() { // it has just begun a request
@@ -178,7 +176,7 @@
 		f.mu.Lock()
 		var l []*conn
 		for c := range f.conns {
-			if shut(c.seat(), c.inMessage.Load(), now, f.cfg.Within) && c.leave() {
+			if shut(c.view(), c.inMessage.Load(), now, f.cfg.Within) && c.leave() {
 				l = append(l, c)
 			}
 		}
@@ -190,74 +188,6 @@
 	}
 }
 
-// Drain says by `status` that no more is to come; requests are still taken.
-func (f *Front) Drain() { f.draining.Store(true) }
-
-// Conns returns how many clients are connected.
-func (f *Front) Conns() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.conns)
-}
-
-// Finish ends the connections in order, once the gateway has answered all that it took: answers that wait go out, then our half of
-// each connection ends, and the client closes the other. It returns when all have, or the time is up; what comes meanwhile on new
-// connections is answered by the gateway's refusal.
-func (f *Front) Finish(within time.Duration) {
-	f.mu.Lock()
-	if f.closed || f.empty != nil {
-		f.mu.Unlock()
-		return
-	}
-	f.empty = make(chan struct{})
-	f.noneLeft()
-	l := slices.Collect(maps.Keys(f.conns))
-	f.mu.Unlock()
-	for _, c := range l {
-		c.mu.Lock()
-		c.leaving, c.finished = true, true
-		c.mu.Unlock()
-		c.out.Finish()
-	}
-	t := time.NewTimer(within)
-	defer t.Stop()
-	select {
-	case <-f.empty:
-	case <-t.C:
-	}
-}
-
-// noneLeft tells Finish when the last connection has ended. The lock is held.
-func (f *Front) noneLeft() {
-	if f.empty == nil || len(f.conns) > 0 {
-		return
-	}
-	select {
-	case <-f.empty:
-	default:
-		close(f.empty)
-	}
-}
-
-// Close ends all connections; Serve returns once its listener is closed as well.
-func (f *Front) Close() {
-	f.mu.Lock()
-	if f.closed {
-		f.mu.Unlock()
-		return
-	}
-	f.closed = true
-	close(f.done)
-	var l []*conn
-	for c := range f.conns {
-		l = append(l, c)
-	}
-	f.mu.Unlock()
-	for _, c := range l {
-		c.out.Close()
-	}
-}
-
 // begin takes a txn that is not open.
 func (f *Front) begin(txn uint64) bool {
 	f.mu.Lock()
@@ -298,11 +228,11 @@
 	id  choice.RequestID
 }
 
-func (c *conn) seat() seat {
+func (c *conn) view() connView {
 	c.mu.Lock()
 	n := len(c.open)
 	c.mu.Unlock()
-	return seat{spoke: c.spoke.Load(), open: n, since: time.Duration(c.since.Load())}
+	return connView{spoke: c.spoke.Load(), open: n, since: time.Duration(c.since.Load())}
 }
 
 // leave bars the connection from taking a request, if it has none open: its client sends what crosses the close again.
@@ -349,18 +279,6 @@
 	}
 }
 
-// discard reads until the client ends, where our half has ended in order.
-func (c *conn) discard(r *bufio.Reader) {
-	c.mu.Lock()
-	finished := c.finished
-	c.mu.Unlock()
-	for finished {
-		if _, err := r.Discard(readBuffer); err != nil {
-			return
-		}
-	}
-}
-
 // take carries a message out; false ends the connection.
 func (c *conn) take(m *message) bool {
 	switch {
@@ -489,22 +407,22 @@
 	}
 	c.f.Counts.Withdrawn.Add(1)
 	c.f.end(o.txn)
-	c.f.cfg.Gateway.HangUp(o.id)
+	c.f.cfg.Gateway.Cancel(o.id)
 }
 
-// ended takes back all that is open.
+// ended takes back all that is open, and then closes: a client that sees the end knows that nothing of its is sent on any more.
 func (c *conn) ended() {
-	c.out.Close()
-	c.f.mu.Lock()
-	delete(c.f.conns, c)
-	c.f.noneLeft()
-	c.f.mu.Unlock()
 	c.mu.Lock()
 	open := c.open
 	c.open = map[uint32]*openCall{}
 	c.mu.Unlock()
 	for _, o := range open {
 		c.f.end(o.txn)
-		c.f.cfg.Gateway.HangUp(o.id)
+		c.f.cfg.Gateway.Cancel(o.id)
 	}
+	c.out.Close()
+	c.f.mu.Lock()
+	delete(c.f.conns, c)
+	c.f.noneLeft()
+	c.f.mu.Unlock()
 }
--- a/front/webhook/front.go
+++ b/front/webhook/front.go
@@ -460,7 +460,7 @@
 	left := l.waiting == 0 && !l.ended // all hung up before the number was known
 	f.mu.Unlock()
 	if left {
-		f.cfg.Gateway.HangUp(id)
+		f.cfg.Gateway.Cancel(id)
 	}
 }
 
@@ -528,7 +528,7 @@
 		f.unhold(l)
 	}
 	if last && started {
-		f.cfg.Gateway.HangUp(id)
+		f.cfg.Gateway.Cancel(id)
 	}
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,7 +130,7 @@
 	Trace    [16]byte      // trace id
 	Retry    bool
 	Hint     time.Duration
-	// Deliver is called once, on any goroutine; with Gone after a HangUp. It must not block.
+	// Deliver is called once, on any goroutine; with Gone after a Cancel. It must not block.
 	Deliver func(Answer)
 	// Progress, where set, is told of each attempt that goes out, and whether it may wait for a load. It must not block.
 	Progress func(attempt int, worker string, load bool)
@@ -264,8 +264,8 @@
 	return id, true
 }
 
-// HangUp says that the client of a call has left.
-func (g *Gateway) HangUp(id choice.RequestID) { g.put(choice.HungUp{Request: id}) }
+// Cancel says that the client of a call has left.
+func (g *Gateway) Cancel(id choice.RequestID) { g.put(choice.HungUp{Request: id}) }
 
 // Message hands over the word of another controller.
 func (g *Gateway) Message(from int, payload []byte) {
