--- a/backend/frame/frame_test.go
+++ b/backend/frame/frame_test.go
@@ -468,12 +468,16 @@
 // TestLateAnswer: an answer after its time, on a connection used again, is nobody's.
 func TestLateAnswer(t *testing.T) {
 	addr, _ := recorded(t, func(g platform.Command) []byte {
-		if g.ID != 2 {
+		switch g.ID {
+		case 1:
 			return nil
+		case 2:
+			return append(reply(codeOK, 1, "", "late"), serves(g)...)
 		}
-		return append(reply(codeOK, 1, "", "late"), serves(g)...)
+		return serves(g)
 	})
 	b := start(t, addr, nil)
+	run(b, call(3)) // the connection stands: to open it may take longer than the call that is to be late has
 	a := call(1)
 	a.Within = time.Millisecond
 	if r := run(b, a); r.Outcome != choice.TimedOut {
@@ -483,27 +487,3 @@
 		t.Errorf("the next call: %v, %q, %d connections, %d strays", r.Outcome, r.Body, b.Counts.Opened.Load(), b.Counts.Strays.Load())
 	}
 }
-
-// TestIdleReset: an idle connection that is reset is not used again, and nothing is lost by it.
-func TestIdleReset(t *testing.T) {
-	conns := make(chan *net.TCPConn, 10)
-	addr := invoker(t, func(_ int, c *net.TCPConn) {
-		g, err := readCommand(c)
-		if err == nil {
-			c.Write(reply(codeOK, g.ID, "", "answer"))
-			conns <- c
-			hold(c)
-		}
-	})
-	b := start(t, addr, nil)
-	run(b, call(1))
-	c := <-conns
-	c.SetLinger(0)
-	c.Close()
-	for b.Seen()[0].Conns > 0 {
-		time.Sleep(time.Millisecond)
-	}
-	if r := run(b, call(2)); r.Outcome != choice.OK || b.Counts.LostNew.Load()+b.Counts.LostUsed.Load() != 0 {
-		t.Errorf("%v, %d lost", r.Outcome, b.Counts.LostNew.Load()+b.Counts.LostUsed.Load())
-	}
-}
--- a/backend/frame/room_test.go
+++ b/backend/frame/room_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"kitehub/backend"
 	"kitehub/choice"
@@ -111,3 +112,27 @@
 		}
 	}
 }
+
+// TestIdleReset: an idle connection that is reset is not used again, and nothing is lost by it.
+func TestIdleReset(t *testing.T) {
+	conns := make(chan *net.TCPConn, 10)
+	addr := invoker(t, func(_ int, c *net.TCPConn) {
+		g, err := readCommand(c)
+		if err == nil {
+			c.Write(reply(codeOK, g.ID, "", "answer"))
+			conns <- c
+			hold(c)
+		}
+	})
+	b := start(t, addr, nil)
+	run(b, call(1))
+	c := <-conns
+	c.SetLinger(0)
+	c.Close()
+	for b.Seen()[0].Conns > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if r := run(b, call(2)); r.Outcome != choice.OK || b.Counts.LostNew.Load()+b.Counts.LostUsed.Load() != 0 {
+		t.Errorf("%v, %d lost", r.Outcome, b.Counts.LostNew.Load()+b.Counts.LostUsed.Load())
+	}
+}
