--- a/discovery/dns/dns_test.go
+++ b/discovery/dns/dns_test.go
@@ -1,6 +1,7 @@
 package dns
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math"
@@ -311,6 +312,37 @@
 	s.want(t, "4 a")
 }
 
+// TestWayLost: where nothing comes back to one port any more, another is tried.
+func TestWayLost(t *testing.T) {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go func() {
+		buf, lost := make([]byte, 512), ""
+		for {
+			n, from, err := c.ReadFrom(buf)
+			if err != nil {
+				return
+			}
+			if lost == "" {
+				lost = from.String()
+			}
+			if from.String() != lost {
+				c.WriteTo(answer(t, platform.List{Serial: 4, Workers: []string{"a"}}, binary.BigEndian.Uint16(buf[:n])), from)
+			}
+		}
+	}()
+	s := sink{make(chan string, 10)}
+	w, err := Start(Config{Service: service, Server: c.LocalAddr().String(), Serial: 3, Period: 20 * time.Millisecond, Sink: s, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Stop()
+	s.want(t, "4 a")
+}
+
 func TestAddress(t *testing.T) {
 	for in, ok := range map[string]bool{"127.0.0.1:53": true, "[::ffff:127.0.0.1]:53": true, "names.cluster:53": false, "127.0.0.1": false,
 		"127.0.0.1:0": false, "[::1]:53": false, "": false} {
--- a/discovery/dns/watch.go
+++ b/discovery/dns/watch.go
@@ -37,15 +37,16 @@
 // A Watcher asks the directory until Stop. An answer that is lost or unfit is asked for again at once, so that the list
 // is never older than the period and the time that the losses took.
 //
-// It has one socket from its start to its end, which no server owns: neither a server that is not there nor a change of
-// servers needs a descriptor, which idle clients may have taken meanwhile.
+// It always has one socket, which no server owns: neither a server that is not there nor a change of servers needs a
+// descriptor, which idle clients may have taken meanwhile. Where silence lasts, another is taken in its place if there is one: what
+// lies between may have lost this one's way.
 type Watcher struct {
 	cfg     Config
 	service dnsmessage.Name
-	conn    *net.UDPConn
 	Counts  Counts
 
 	mu     sync.Mutex
+	conn   *net.UDPConn // changed by run alone
 	server netip.AddrPort
 	ended  bool
 	wake   chan struct{} // the server has changed, or the watch ends
@@ -54,6 +55,7 @@
 
 const (
 	patiencePart = 2 // of the period is waited for one answer
+	renewAfter   = 4 // questions in a row without a fit answer, until another socket is tried
 	jitterPart   = 8 // of the period at most is drawn off it: controllers that start together do not ask in step for long
 )
 
@@ -138,7 +140,8 @@
 
 func (w *Watcher) run() {
 	defer w.wg.Done()
-	defer w.conn.Close()
+	defer func() { w.conn.Close() }()
+	lost := 0
 	state := State{Serial: w.cfg.Serial}
 	buf := make([]byte, MostBytes+1)
 	jitter := func() time.Duration { return rand.N(w.cfg.Period/jitterPart + 1) }
@@ -156,12 +159,27 @@
 		begun := time.Now()
 		wait := w.cfg.Period / patiencePart
 		if w.ask(server, &state, buf, begun.Add(wait)) {
-			wait = w.cfg.Period - jitter()
+			wait, lost = w.cfg.Period-jitter(), 0
+		} else if lost++; lost%renewAfter == 0 {
+			w.renew()
 		}
 		timer.Reset(max(0, wait-time.Since(begun)))
 	}
 }
 
+// renew takes another socket, from another port; the old one stays where none is to be had.
+func (w *Watcher) renew() {
+	conn, err := net.ListenUDP("udp4", nil)
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	old := w.conn
+	w.conn = conn
+	w.mu.Unlock()
+	old.Close()
+}
+
 // ask puts one question and takes what comes until its answer is there; false if none was.
 func (w *Watcher) ask(server netip.AddrPort, state *State, buf []byte, end time.Time) bool {
 	id := uint16(rand.Uint32())
