The loop waits for its tick by the runtime's timer: a sleeping thread held the only processor

In the log of n1: late_us 16182, step_us 11 s of 20, open 1,231 to 2,076, but withdrawn 44: the withdrawals were not even read.

Cause: gateway.Run paused for the rest of a tick (1 ms) in a raw nanosleep (pause, gateway.go). GOMAXPROCS is 1 there, and a thread in a system call keeps its P until sysmon takes it away, so between two steps nobody read or answered.

Now the rest of the tick is part of the loop's one select. TestTickHoldsNothing: with a tick of an hour the loop answers what it is asked, and ends. Seen to fail without; -race -count=20 ok.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,7 +16,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -292,18 +291,26 @@
 func (g *Gateway) Open() int { return int(g.open.Load()) }
 
 // Run steps the module until Stop. It is to be called once.
+//
+// At most one step a tick: what comes meanwhile is decided together. The rest of a tick is waited for by the runtime's timer, which
+// may come up to a millisecond late. A thread that sleeps by itself would be on time, but where there is one processor it holds that
+// processor, until the runtime takes it away some milliseconds later: readers and answers then stand still between all steps.
 func (g *Gateway) Run() {
 	defer close(g.done)
 	tick := g.cfg.Settings.Tick
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	last := g.cfg.Clock.Now() - tick
+	waiting := false // something has come, and waits for the tick to be over
 	for {
-		wait := time.Hour
-		if g.timer > 0 {
-			wait = max(0, g.timer-g.cfg.Clock.Now())
+		now, wait, wake := g.cfg.Clock.Now(), time.Hour, g.wake
+		switch {
+		case waiting:
+			wait, wake = last+tick-now, nil
+		case g.timer > 0:
+			wait = max(g.timer, last+tick) - now
 		}
-		timer.Reset(wait)
+		timer.Reset(max(0, wait))
 		select {
 		case <-g.halt:
 			if !g.killed.Load() {
@@ -313,13 +320,13 @@
 		case f := <-g.asked:
 			f()
 			continue
-		case <-g.wake:
+		case <-wake:
+			if waiting = g.cfg.Clock.Now() < last+tick; waiting {
+				continue
+			}
 		case <-timer.C:
 		}
-		// At most one step a tick: what comes meanwhile is decided together.
-		if early := last + tick - g.cfg.Clock.Now(); early > 0 {
-			pause(early)
-		}
+		waiting = false
 		last = g.cfg.Clock.Now()
 		if late := int64(last - g.timer); g.timer > 0 && late > g.Counts.LateNanos.Load() {
 			g.Counts.LateNanos.Store(late)
@@ -328,16 +335,6 @@
 	}
 }
 
-// pause sleeps. The runtime's own timers come up to a millisecond late; for less than that the thread sleeps itself.
-func pause(d time.Duration) {
-	if d >= 2*time.Millisecond {
-		time.Sleep(d)
-		return
-	}
-	ts := syscall.NsecToTimespec(int64(d))
-	syscall.Nanosleep(&ts, nil) // woken early by a signal, the step comes early: no harm
-}
-
 // step is one turn: events in, actions out.
 func (g *Gateway) step(now time.Duration) {
 	events, calls, results := g.take()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -502,3 +503,45 @@
 		}
 	}
 }
+
+// TestTickHoldsNothing: while the loop waits for its tick to be over, with something to decide, it still answers what it is
+// asked and ends when told to.
+func TestTickHoldsNothing(t *testing.T) {
+	g, _, _, _ := fixed(t)
+	g.cfg.Settings.Tick = time.Hour
+	go g.Run()
+	look := func() uint64 {
+		steps := make(chan uint64)
+		select {
+		case g.asked <- func() { steps <- uint64(g.Counts.Steps.Load()) }:
+			return <-steps
+		case <-time.After(20 * time.Second):
+			t.Fatal("the loop stands still")
+			return 0
+		}
+	}
+	for look() == 0 { // the list is waiting
+		runtime.Gosched()
+	}
+	var answers []Answer
+	call(t, g, 0, &answers)
+	for len(g.wake) > 0 { // until the loop knows of it
+		runtime.Gosched()
+	}
+	if n := look(); n != 1 {
+		t.Errorf("%d steps in a tick", n)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		g.Stop(0)
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(20 * time.Second):
+		t.Fatal("it does not end before its tick is over")
+	}
+	if len(answers) != 1 || answers[0].Kind != Refused {
+		t.Errorf("%+v", answers)
+	}
+}
