--- a/review/testdata/rig/client.go
+++ b/review/testdata/rig/client.go
@@ -49,6 +49,7 @@
 	Version string // kitehub-version
 	Body    string
 	Err     error
+	Unsent  bool // the message was not sent whole
 	Took    time.Duration
 }
 
@@ -63,15 +64,26 @@
 
 // Send sends a message on a connection of its own and waits for the answer.
 func Send(addr string, m Message, timeout time.Duration) Answer {
+	return SendSlowly(addr, m, timeout, 0)
+}
+
+// SendSlowly is Send for a client whose network takes some time between the head and the body.
+func SendSlowly(addr string, m Message, timeout, between time.Duration) Answer {
 	begin := time.Now()
 	conn, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
-		return Answer{Err: err, Took: time.Since(begin)}
+		return Answer{Err: err, Unsent: true, Took: time.Since(begin)}
 	}
 	defer conn.Close()
 	conn.SetDeadline(begin.Add(timeout))
-	if _, err := conn.Write(m.Bytes()); err != nil {
-		return Answer{Err: err, Took: time.Since(begin)}
+	request := m.Bytes()
+	head := len(request) - len(m.Body)
+	if _, err := conn.Write(request[:head]); err != nil {
+		return Answer{Err: err, Unsent: true, Took: time.Since(begin)}
+	}
+	time.Sleep(between)
+	if _, err := conn.Write(request[head:]); err != nil {
+		return Answer{Err: err, Unsent: true, Took: time.Since(begin)}
 	}
 	a := ReadAnswer(bufio.NewReader(conn))
 	a.Took = time.Since(begin)
--- a/review/testdata/rig/rig.go
+++ b/review/testdata/rig/rig.go
@@ -182,6 +182,12 @@
 	return string(text)
 }
 
+// LastLines returns the last lines that the process has written.
+func (p *Proc) LastLines(n int) string {
+	lines := strings.Split(strings.TrimSpace(p.LogText()), "\n")
+	return strings.Join(lines[max(0, len(lines)-n):], " | ")
+}
+
 // AwaitLog waits until the process has written a text, and ends the case if it does not.
 func (p *Proc) AwaitLog(text string, timeout time.Duration) {
 	for deadline := time.Now().Add(timeout); !strings.Contains(p.LogText(), text); {
