--- a/review/testdata/takeover-rpc/main.go
+++ b/review/testdata/takeover-rpc/main.go
@@ -55,6 +55,7 @@
 				id := fmt.Sprintf("call_%d_%d", i, n)
 				m := rig.Sign(rig.ClientSecret("shop", "c1"), id, fmt.Sprintf("/call/trade-%d", i%6), fmt.Sprintf(`{"id":%q}`, id))
 				a := rig.SendSlowly(addr, m, deadline, upload)
+				c.Log("%s: %v", id, a)
 				mu.Lock()
 				switch {
 				case a.Err == nil && a.Status == 200:
@@ -66,7 +67,6 @@
 					counts["not sent"]++
 				default:
 					counts["lost"]++
-					c.Log("%s: %v", id, a)
 				}
 				mu.Unlock()
 				time.Sleep(pause/2 + rand.N(pause))
