Fake discovery: "ready" counts from before a list can be read, not from after

Cause: DiscoveryServer.publishNow wrote the file first and took the time of the "ready" records afterwards. A controller that polled in between sent a call which the record said was too early.

Change: ready is recorded before the list can be read, draining and gone after it can, plus the poll interval. The other ways a list is delivered, looked at for the same order: - long poll: ready was right; draining and gone were stamped before the response was written, now when its write has ended (http1.Response.BeforeWrite). - a worker that left and returned within one poll interval was recorded as ready first and as gone afterwards, and counted as gone from then on; also if the controller restarted in between. A state never counts from before the previous one now. - the DNS directory of fakeplatform records no deliveries.

--- a/internal/harness/fakeworker/discovery.go
+++ b/internal/harness/fakeworker/discovery.go
@@ -17,7 +17,8 @@
 
 // A DiscoveryServer is a fake of the server that publishes the endpoint list. It publishes each
 // list after a delay, to long polls and to a file, and records in the trace when each controller
-// received which state of a worker.
+// received which state of a worker: ready from before the list can be read, as the controller may
+// use the worker at once, and draining or gone from when it has certainly been read.
 type DiscoveryServer struct {
 	cluster      string
 	log          *trace.Log
@@ -34,9 +35,17 @@
 	file         string
 	pollInterval time.Duration
 	readers      []string // controllers that poll the file
+	writeFile    func(name string, text []byte) error
 	server       *http1.Server
 	ln           net.Listener
-	states       map[string]string // last state that was recorded, by controller and worker
+	delivered    map[string]deliveredState // by controller and worker
+}
+
+// A deliveredState is the last state of a worker that a controller received, and since when it
+// counts.
+type deliveredState struct {
+	state string
+	at    time.Duration
 }
 
 // A change is a list that is to be published.
@@ -52,7 +61,7 @@
 		return nil, err
 	}
 	d := &DiscoveryServer{cluster: cluster, log: log, earlier: map[int][]gateway.Worker{}, changed: make(chan struct{}), closed: make(chan struct{}),
-		wake: make(chan struct{}, 1), ln: ln, states: map[string]string{}}
+		wake: make(chan struct{}, 1), writeFile: discovery.WriteFile, ln: ln, delivered: map[string]deliveredState{}}
 	d.server = &http1.Server{Handler: http1.HandlerFunc(d.serve)}
 	go d.server.Serve(ln)
 	d.wg.Add(1)
@@ -138,64 +147,81 @@
 		return
 	}
 	text, err := discovery.MarshalAssignment(d.cluster, list)
-	if err == nil {
-		err = discovery.WriteFile(d.file, text)
-	}
 	if err != nil {
+		panic(err)
+	}
+	for _, controller := range d.readers {
+		d.recordReady(controller, list)
+	}
+	if err := d.writeFile(d.file, text); err != nil {
 		panic(err) // the file is in the test's own folder
 	}
-	for _, c := range d.readers {
-		d.recordDelivery(c, list, d.pollInterval)
+	for _, controller := range d.readers {
+		d.recordNotReady(controller, list, d.now()+d.pollInterval)
 	}
 }
 
-// recordDelivery records that a controller receives a list within maxDelay. Because it may read the
-// list at once or only at the end of that time, a worker counts as ready from now on, and as
-// draining or gone from the end. The caller holds mu.
-func (d *DiscoveryServer) recordDelivery(controller string, list []gateway.Worker, maxDelay time.Duration) {
-	at := d.now() + maxDelay
-	present := map[string]bool{}
+// recordReady records that a controller may learn of the ready workers of a list from now on. It is
+// called before the list can be read. The caller holds mu.
+func (d *DiscoveryServer) recordReady(controller string, list []gateway.Worker) {
 	for _, w := range list {
-		state := "ready"
-		if w.State != scheduler.Ready {
-			state = "draining"
+		if w.State == scheduler.Ready {
+			d.recordState(controller, w.Name, stateReady, d.now())
 		}
+	}
+}
+
+// recordNotReady records that a controller has learned of the draining and gone workers of a list
+// by the given time, when it has certainly read the list. The caller holds mu.
+func (d *DiscoveryServer) recordNotReady(controller string, list []gateway.Worker, at time.Duration) {
+	present := map[string]bool{}
+	for _, w := range list {
 		present[w.Name] = true
-		if state == "ready" {
-			d.recordState(controller, w.Name, state, at-maxDelay)
-		} else {
-			d.recordState(controller, w.Name, state, at)
+		if w.State != scheduler.Ready {
+			d.recordState(controller, w.Name, stateDraining, at)
 		}
 	}
-	for key, state := range d.states {
-		if c, worker, _ := strings.Cut(key, " "); c == controller && !present[worker] && state != "gone" {
-			d.recordState(controller, worker, "gone", at)
+	for key := range d.delivered {
+		if c, worker, _ := strings.Cut(key, " "); c == controller && !present[worker] {
+			d.recordState(controller, worker, stateGone, at)
 		}
 	}
 }
 
+// States of a worker in the trace.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+	stateGone     = "gone"
+)
+
 // recordState adds a worker's state to the trace if it differs from the last one that the
-// controller received. The first state is not recorded if it is ready.
+// controller received. The first state is not recorded if it is ready. A state never counts from
+// before the previous one, which may be one that the controller has not read yet.
 func (d *DiscoveryServer) recordState(controller, worker, state string, at time.Duration) {
 	key := controller + " " + worker
-	old, known := d.states[key]
-	if old == state || !known && state == "ready" {
-		d.states[key] = state
+	last, known := d.delivered[key]
+	if last.state == state {
+		return
+	}
+	at = max(at, last.at)
+	d.delivered[key] = deliveredState{state, at}
+	if !known && state == stateReady {
 		return
 	}
-	d.states[key] = state
 	d.log.Add(trace.Record{At: at, Kind: trace.ListDelivered, Controller: controller, Worker: worker, Outcome: state})
 }
 
 func (d *DiscoveryServer) now() time.Duration { return d.log.Now() }
 
-// ForgetController forgets which states a controller received, as it restarts without them.
+// ForgetController forgets which states a controller received, as it restarts without them. It
+// keeps those that count from a later time only, as they count for the new process.
 func (d *DiscoveryServer) ForgetController(controller string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for key := range d.states {
-		if strings.HasPrefix(key, controller+" ") {
-			delete(d.states, key)
+	for key, last := range d.delivered {
+		if strings.HasPrefix(key, controller+" ") && last.at <= d.now() {
+			delete(d.delivered, key)
 		}
 	}
 }
@@ -246,6 +272,22 @@
 	if err != nil {
 		panic(err)
 	}
-	d.recordDelivery(req.Node.ID, d.published, 0)
-	return &http1.Response{Status: 200, Header: http1.Header{{Name: "Content-Type", Value: "application/json"}}, Body: body}
+	response := &http1.Response{Status: 200, Header: http1.Header{{Name: "Content-Type", Value: "application/json"}}, Body: body}
+	response.BeforeWrite = d.recordResponse(req.Node.ID, d.published)
+	return response
+}
+
+// recordResponse returns a function for http1.Response.BeforeWrite that records a list's delivery
+// by a response: ready workers before it is written, draining and gone ones once it is.
+func (d *DiscoveryServer) recordResponse(controller string, list []gateway.Worker) func() (*http1.Response, time.Duration, func()) {
+	return func() (*http1.Response, time.Duration, func()) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.recordReady(controller, list)
+		return nil, 0, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.recordNotReady(controller, list, d.now())
+		}
+	}
 }
