Registry: settings are part of the log, so a restart under others undoes nothing

Cause: the log holds commands, and recoverState applied them again under the settings of the new process, so that all that commands lead to was decided anew. Here the first record more than 5 s behind the request gave the migration up, and the confirmation of its epoch was rejected in silence.

Run on the code from before, it fails for staging_ms (shorter and longer), worse, least_calls, watch_ms, keep_ms, remembered and the limits on models, versions and aliases; lease_ms and settle_ms decide nothing at replay. TestShorterLeaseWaitsForEarlierLeases failed too: the same cause at the leases, as a process with a smaller lease_ms waited for that lease only, not for the longer ones granted before.

Recovery applies each record under the settings before it. A start whose configuration differs commits it before it serves, and fails if that cannot be written. The state keeps until when longer leases may be held. A record that is never rejected when it is written stops the start if recovery rejects it (ErrOtherSettings) in place of being skipped. This works because recovery now is a function of the log alone.

Folders of format 1 are read: their records are applied under the first settings that were recorded after them, or the configured ones, and the start is refused if a confirmed epoch contradicts them.

--- a/internal/registry/guarantee_test.go
+++ b/internal/registry/guarantee_test.go
@@ -186,7 +186,7 @@
 // registry.
 func (g *guaranteeModel) migrate() {
 	if rapid.IntRange(0, 9).Draw(g.t, "restart") == 0 { // the leases are lost with the process
-		g.registry.leases = NewLeases(g.settings, g.now, false)
+		g.registry.leases = NewLeases(g.registry.state, g.now, false)
 	}
 	var revision uint64
 	if m := g.registry.state.Models[guarded.Model]; m != nil {
--- a/internal/registry/lease.go
+++ b/internal/registry/lease.go
@@ -13,12 +13,12 @@
 //
 // They are not part of a State and are not stored. A lease lives as long as the process that
 // granted it, and a new process assumes for the duration of one lease that controllers may still
-// hold leases of the previous process. So a response to a controller never waits for a disk, and a
+// hold leases of earlier processes: of the longest lease that their settings allowed. So a response to a controller never waits for a disk, and a
 // full disk stops migrations but not calls.
 type Leases struct {
 	settings Settings
-	// Until graceUntil, controllers may hold leases of the previous process that this process does
-	// not know.
+	// Until graceUntil, controllers may hold leases of earlier processes that this process does not
+	// know.
 	graceUntil time.Duration
 	holders    map[string]*leaseHolder
 }
@@ -29,23 +29,16 @@
 	versionsInUse []VersionRef
 }
 
-// NewLeases returns the leases of a process that started now. firstStart says that no earlier
-// process ran on this registry.
-func NewLeases(settings Settings, now time.Duration, firstStart bool) *Leases {
-	l := &Leases{settings: settings, holders: map[string]*leaseHolder{}}
+// NewLeases returns the leases of a process that started now on a recovered state. firstStart says
+// that no earlier process ran on this registry.
+func NewLeases(state *State, now time.Duration, firstStart bool) *Leases {
+	l := &Leases{settings: state.Settings, holders: map[string]*leaseHolder{}}
 	if !firstStart {
-		l.graceUntil = now + l.ttlWithDrift()
+		l.graceUntil = max(now+l.settings.leaseTTL(), state.EarlierLeasesUntil)
 	}
 	return l
 }
 
-// ttlWithDrift is how long a lease may last by the registry's clock, if that clock runs as fast,
-// and the controller's as slowly, as the bound on their drift permits.
-func (l *Leases) ttlWithDrift() time.Duration {
-	drift := l.settings.MaxClockDrift
-	return time.Duration(float64(l.settings.LeaseDuration)*(1+drift)/(1-drift)) + 1
-}
-
 // Renew grants a controller a new lease. The controller thereby confirms that it acts under an
 // epoch; latest is the newest epoch of the registry. versionsInUse are the versions under which
 // calls of the controller still run, except those that aliases name.
@@ -71,7 +64,7 @@
 	}
 	// The epoch may decrease: a controller that restarted knows less than it once confirmed.
 	holder.epoch = epoch
-	holder.expiresAt = now + l.ttlWithDrift()
+	holder.expiresAt = now + l.settings.leaseTTL()
 	holder.versionsInUse = versionsInUse
 	return nil
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -53,7 +53,7 @@
 
 func newTestRegistry(s Settings) (*testRegistry, error) {
 	st, err := New(s)
-	return &testRegistry{st, NewLeases(s, 0, true)}, err
+	return &testRegistry{st, NewLeases(st, 0, true)}, err
 }
 
 // apply applies a command, and then the confirmation of an epoch if the leases permit it.
--- a/internal/registry/service/codec.go
+++ b/internal/registry/service/codec.go
@@ -26,6 +26,7 @@
 	CallsEnded     *registry.CallsEnded     `json:"ended,omitempty"`
 	EpochConfirmed *registry.EpochConfirmed `json:"reached,omitempty"`
 	Tick           *registry.Tick           `json:"tick,omitempty"`
+	ChangeSettings *registry.ChangeSettings `json:"settings,omitempty"`
 }
 
 // command returns the command of a record, or an error unless exactly one is set.
@@ -41,6 +42,7 @@
 	commands = appendIfSet(commands, r.CallsEnded)
 	commands = appendIfSet(commands, r.EpochConfirmed)
 	commands = appendIfSet(commands, r.Tick)
+	commands = appendIfSet(commands, r.ChangeSettings)
 	if len(commands) != 1 {
 		return nil, fmt.Errorf("command: %d are set, want one of push, promote, rollback, condemn, policy, collect",
 			len(commands))
@@ -87,6 +89,8 @@
 		r.EpochConfirmed = &c
 	case registry.Tick:
 		r.Tick = &c
+	case registry.ChangeSettings:
+		r.ChangeSettings = &c
 	}
 }
 
--- a/internal/registry/service/commit.go
+++ b/internal/registry/service/commit.go
@@ -102,7 +102,7 @@
 // copies of the state in memory. The caller holds mu.
 func (s *Service) startSnapshot() {
 	s.sinceSnapshot = 0
-	text, err := json.Marshal(s.state)
+	text, err := marshalSnapshot(s.state)
 	if err != nil {
 		s.cfg.Log.Error().Err(err).Msg("snapshot encoding failed")
 		return
--- a/internal/registry/service/golden_test.go
+++ b/internal/registry/service/golden_test.go
@@ -21,7 +21,11 @@
 	"kitehub/internal/store"
 )
 
-const goldenDir = "testdata/golden/folder"
+// Directories of the current format, and of format 1, which has no settings.
+const (
+	goldenDir        = "testdata/golden/folder"
+	goldenDirFormat1 = "testdata/golden/folder-format1"
+)
 
 // goldenSettings are longer than any run of the tests, so that only the manual clock makes anything
 // due.
@@ -148,9 +152,13 @@
 	s.commit(registry.Promote{Model: "n", Alias: "current", To: "w1", Copies: 3, By: "ann", Reason: "staging still"})
 }
 
-// recordsBeforeSnapshot is the number of records of runBeforeSnapshot, including the one that the
-// service commits by itself.
-const recordsBeforeSnapshot = 18
+// recordsBeforeSnapshot is the number of records of runBeforeSnapshot, including the two that the
+// service commits by itself: the settings and the confirmation of an epoch. In format 1 there are no
+// settings.
+const (
+	recordsBeforeSnapshot        = 19
+	recordsBeforeSnapshotFormat1 = 18
+)
 
 // runAfterSnapshot is the part of the scenario that the log contains after the snapshot: every kind
 // of command, keys that were used before, a migration that is rolled back while staging, and one
@@ -246,6 +254,7 @@
 		t.Fatalf("before the snapshot: %+v", *recovered)
 	}
 	s.runAfterSnapshot()
+	s.commit(registry.ChangeSettings{Settings: goldenSettings})
 	state := stateOf(t, s.Service)
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
@@ -291,20 +300,59 @@
 	}
 }
 
+// A directory of format 1 yields the same state as it did when that format was current. Opening it
+// adds the settings to the log, once, and keeps every record that it has.
+func TestGoldenFormat1Opens(t *testing.T) {
+	s := &scenario{t: t, clock: clock.NewManual(time.Unix(1_900_000_000, 0)), dir: copyOf(t, goldenDirFormat1)}
+	snapshot, records := payloads(t, goldenDirFormat1)
+	goldenfile.Compare(t, "snapshot-format1.json", append(bytes.Clone(snapshot), '\n'))
+	goldenfile.Compare(t, "records-format1.jsonl", append(bytes.Join(records, []byte("\n")), '\n'))
+	recovered := s.open(1000, nil)
+	goldenfile.Compare(t, "state.json", stateOf(t, s.Service))
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if recovered.SnapshotSeq != recordsBeforeSnapshotFormat1 || recovered.ReplayedRecords != len(records) || recovered.DiscardedBytes != 0 {
+		t.Errorf("recovered: %+v, want %d records after %d", *recovered, len(records), recordsBeforeSnapshotFormat1)
+	}
+	newSnapshot, newRecords := payloads(t, s.dir)
+	if !bytes.Equal(newSnapshot, snapshot) || len(newRecords) != len(records)+1 || !reflect.DeepEqual(newRecords[:len(records)], records) {
+		t.Errorf("the first start changed what the directory had: %d records, had %d", len(newRecords), len(records))
+	}
+	again := s.open(1000, nil)
+	if again.ReplayedRecords != len(records)+1 {
+		t.Errorf("second start: %d records, want %d", again.ReplayedRecords, len(records)+1)
+	}
+	goldenfile.Compare(t, "state.json", stateOf(t, s.Service))
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, after := payloads(t, s.dir); !reflect.DeepEqual(after, newRecords) {
+		t.Error("the second start added records")
+	}
+}
+
 // The snapshot is encoded to the same bytes after it was decoded: no key is dropped, as
 // json.Unmarshal does with unknown ones.
 func TestGoldenSnapshotRoundTrip(t *testing.T) {
-	snapshot, _ := payloads(t, goldenDir)
-	var state registry.State
-	if err := json.Unmarshal(snapshot, &state); err != nil {
+	text, _ := payloads(t, goldenDir)
+	var decoded snapshot
+	if err := json.Unmarshal(text, &decoded); err != nil {
 		t.Fatal(err)
 	}
-	again, err := json.Marshal(&state)
+	again, err := json.Marshal(decoded)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !bytes.Equal(again, snapshot) {
-		t.Errorf("got\n%s\nwant\n%s", again, snapshot)
+	if !bytes.Equal(again, text) {
+		t.Errorf("got\n%s\nwant\n%s", again, text)
+	}
+	recovered := recovery{state: &registry.State{}}
+	if err := recovered.restore(recordsBeforeSnapshot, text); err != nil {
+		t.Fatal(err)
+	}
+	if again, err := marshalSnapshot(recovered.state); err != nil || !bytes.Equal(again, text) {
+		t.Errorf("restored: got\n%s\nwant\n%s (%v)", again, text, err)
 	}
 }
 
@@ -383,5 +431,5 @@
 
 // Every field that is stored or sent has a JSON tag, so that renames in Go change no format.
 func TestStoredFieldsAreTagged(t *testing.T) {
-	goldenfile.RequireJSONTags(t, record{}, registry.State{}, wire.Command{}, wire.Query{}, wire.Response{}, wire.DiscoveryRequest{}, wire.DiscoveryResponse{})
+	goldenfile.RequireJSONTags(t, record{}, snapshot{}, registry.State{}, wire.Command{}, wire.Query{}, wire.Response{}, wire.DiscoveryRequest{}, wire.DiscoveryResponse{})
 }
--- a/internal/registry/service/service.go
+++ b/internal/registry/service/service.go
@@ -5,7 +5,8 @@
 // # Durability
 //
 // A command is first made durable and then applied, in the order of the log, so a crash takes back
-// nothing that a client was told. Leases are not logged: see registry.Leases. When the store
+// nothing that a client was told. The settings are part of the log, so a restart under others
+// decides nothing again. Leases are not logged: see registry.Leases. When the store
 // breaks, which means that a sync failed, all further commands fail and migrations stop.
 // Controllers still receive the current state, and the process must be restarted.
 //
@@ -18,7 +19,7 @@
 package service
 
 import (
-	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -74,26 +75,23 @@
 	closeOnce       sync.Once
 }
 
-// Open recovers a registry from its directory and starts to run it. It fails if a setting is out of
-// range, the directory cannot be read, its files are damaged (*store.CorruptError), or a record is
-// unknown to this program.
+// Open recovers a registry from its directory and starts to run it. New settings apply from then
+// on; what was decided before stays decided. It fails if a setting is out of range, the directory
+// cannot be read, its files are damaged (*store.CorruptError), a record is unknown to this program
+// or contradicts the settings (ErrOtherSettings), or new settings cannot be written.
 func Open(cfg Config) (*Service, *store.Recovered, error) {
-	state, err := registry.New(cfg.Settings)
-	if err != nil {
-		return nil, nil, err
-	}
 	if err := cfg.validate(); err != nil {
 		return nil, nil, err
 	}
-	log, recovered, err := recoverState(cfg, state)
+	r, log, recovered, err := recoverState(cfg)
 	if err != nil {
 		return nil, nil, err
 	}
 	s := &Service{
 		cfg:             cfg,
 		log:             log,
-		clockOffset:     state.Now - cfg.Clock.Now(),
-		state:           state,
+		clockOffset:     r.state.Now - cfg.Clock.Now(),
+		state:           r.state,
 		applied:         recovered.LastSeq,
 		changed:         make(chan struct{}),
 		lastNack:        map[string]string{},
@@ -101,34 +99,24 @@
 		closed:          make(chan struct{}),
 	}
 	s.appliedCond = sync.NewCond(&s.mu)
-	s.leases = registry.NewLeases(cfg.Settings, s.now(), recovered.LastSeq == 0)
+	if err := s.adoptSettings(r); err != nil {
+		return nil, nil, errors.Join(err, log.Close())
+	}
+	s.leases = registry.NewLeases(s.state, s.now(), recovered.LastSeq == 0)
 	s.deadlineDone.Add(1)
 	go s.deadlineLoop()
 	return s, recovered, nil
 }
 
-// recoverState opens the log and restores state from the newest snapshot and the records after it.
-func recoverState(cfg Config, state *registry.State) (*store.Log, *store.Recovered, error) {
-	restore := func(_ uint64, snapshot []byte) error {
-		if err := json.Unmarshal(snapshot, state); err != nil {
-			return err
-		}
-		state.Settings = cfg.Settings
+// adoptSettings commits the configured settings if they are not those that the log ends with.
+func (s *Service) adoptSettings(r *recovery) error {
+	if r.hasSettings && r.state.Settings == s.cfg.Settings {
 		return nil
 	}
-	replay := func(seq uint64, text []byte) error {
-		var r record
-		if err := unmarshalStrict(text, &r); err != nil {
-			return fmt.Errorf("record %d: %w", seq, err)
-		}
-		c, err := r.command()
-		if err != nil {
-			return fmt.Errorf("record %d: %w", seq, err)
-		}
-		state.Apply(r.At, c) // a command that was rejected then is rejected again now
-		return nil
+	if _, err := s.Commit(registry.ChangeSettings{Settings: s.cfg.Settings}); err != nil {
+		return fmt.Errorf("settings: %w", err)
 	}
-	return store.Open(cfg.FS, store.Options{}, restore, replay)
+	return nil
 }
 
 // Close stops the service; only the first call has an effect. Waiting requests receive the current
--- a/internal/registry/settings.go
+++ b/internal/registry/settings.go
@@ -5,38 +5,39 @@
 	"time"
 )
 
-// Settings bound a registry. All must be above 0, except MaxClockDrift, which may be 0.
+// Settings bound a registry. All must be above 0, except MaxClockDrift, which may be 0. The keys in
+// the tags are a storage format; durations are stored in nanoseconds.
 type Settings struct {
 	// LeaseDuration is how long, by its own clock, a controller may answer after it sent the
 	// request that renewed its lease.
-	LeaseDuration time.Duration
+	LeaseDuration time.Duration `json:"LeaseDuration"`
 	// MaxClockDrift is the largest difference between the rates of two clocks, as a fraction: at
 	// least 0 and below 1.
-	MaxClockDrift float64
+	MaxClockDrift float64 `json:"MaxClockDrift"`
 	// SettleTimeout is how long calls that already run under a superseded target may delay the
 	// acknowledgement of its migration before they are abandoned.
-	SettleTimeout time.Duration
+	SettleTimeout time.Duration `json:"SettleTimeout"`
 	// StagingTimeout is how long copies may take to become ready before the migration is aborted.
-	StagingTimeout time.Duration
+	StagingTimeout time.Duration `json:"StagingTimeout"`
 	// Retention is how long the copies of a version that no alias names any more are kept for a
 	// rollback.
-	Retention time.Duration
+	Retention time.Duration `json:"Retention"`
 	// AutoRollbackWindow is how long after a migration the errors of the new version may cause an
 	// automatic rollback.
-	AutoRollbackWindow time.Duration
+	AutoRollbackWindow time.Duration `json:"AutoRollbackWindow"`
 	// MinCalls is the number of calls of the new version from which its error rate is evaluated.
-	MinCalls int
+	MinCalls int `json:"MinCalls"`
 	// MaxErrorIncrease is by how much the error rate of the new version may exceed that of the
 	// previous one, as a fraction of calls.
-	MaxErrorIncrease float64
+	MaxErrorIncrease float64 `json:"MaxErrorIncrease"`
 
-	MaxModels      int // models in the registry
-	MaxVersions    int // versions of one model
-	MaxAliases     int // aliases of one model
-	MaxControllers int // controllers that hold a lease at the same time
+	MaxModels      int `json:"MaxModels"`      // models in the registry
+	MaxVersions    int `json:"MaxVersions"`    // versions of one model
+	MaxAliases     int `json:"MaxAliases"`     // aliases of one model
+	MaxControllers int `json:"MaxControllers"` // controllers that hold a lease at the same time
 	// MaxRemembered bounds the number of entries in each of three lists: idempotency keys, history
 	// and ended migrations.
-	MaxRemembered int
+	MaxRemembered int `json:"MaxRemembered"`
 }
 
 // validate returns an error that names the first setting out of range, by the name that operators
@@ -68,3 +69,10 @@
 	}
 	return nil
 }
+
+// leaseTTL is how long a lease may last by the registry's clock, if that clock runs as fast, and
+// the controller's as slowly, as the bound on their drift permits.
+func (s Settings) leaseTTL() time.Duration {
+	drift := s.MaxClockDrift
+	return time.Duration(float64(s.LeaseDuration)*(1+drift)/(1-drift)) + 1
+}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -9,7 +9,7 @@
 // storage format, also where they differ from the names of the fields. Durations are in
 // nanoseconds, and times count from the first start of the registry.
 type State struct {
-	Settings Settings `json:"-"`
+	Settings Settings `json:"-"` // stored beside the state
 	// Epoch grows by one with every change that controllers must learn.
 	Epoch           uint64            `json:"Epoch"`
 	LastMigration   uint64            `json:"NextMove"`  // ID of the newest migration
@@ -22,6 +22,9 @@
 	// EndedMigrations are the most recently ended migrations, oldest first.
 	EndedMigrations []MigrationEnd `json:"Moves"`
 	Now             time.Duration  `json:"Now"` // time of the last command
+	// EarlierLeasesUntil is how long controllers may hold leases that were granted under earlier
+	// settings, if these leases were longer; 0 if they never were. It is stored beside the state.
+	EarlierLeasesUntil time.Duration `json:"-"`
 }
 
 // A Model has versions and aliases, each indexed by name.
