Take-over: clients are known by name, and what is handed over keeps its meaning

Cause: replayguard.Key held the index of a client in the configuration, and the state that is handed over held these indexes without names. SetClients guards the order at SIGHUP, TakeOver did not.

Change, and why it works: - A message is known by its client's name and id, in the guard and in the packets. - webhook.KeyOwners, the names by fingerprints of all keys so far, is handed over; a key that moves to another name is refused, as what it signed could come again there. - The guard hands over up to when it has swept: a successor with a greater past_ms takes such messages for possible replays. - A rejection says whether the call may have run (replayguard.Answer.MayHaveRun; also over restarts under another version in ingress.Binder); where the class must not run twice now, a retry fails. - The watermark on disk is read from the successor's own file, not taken over. - How long keyed JSON-RPC calls of the old process matter is handed over, for classes that changed.

Formats: the state of a handover is version 2. Version 1 is refused with a message and the old process goes on; a program of version 1 cannot decode version 2. The exported check HarmlessRetry is the line that stood in mayReject.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -79,7 +80,9 @@
 	notifier          *hookengine.Notifier
 	rpcListener       net.Listener      // nil: not configured
 	successorListener *net.UnixListener // nil: handovers are not configured
-	onPredecessorDone func()            // called once the predecessor is done; nil: nothing to do then
+	// rpcKeysUnknownUntil is until when keyed JSON-RPC calls are rejected; 0: no predecessor.
+	rpcKeysUnknownUntil time.Duration
+	onPredecessorDone   func() // called once the predecessor is done; nil: nothing to do then
 
 	events eventFanout
 	// hookEngine is replaced when a handover is aborted. Nil: there are no scripts.
@@ -124,8 +127,8 @@
 func (c *Controller) Name() string { return c.config.Name }
 
 // SetClients replaces the clients and their keys by those of a reloaded configuration. Clients can
-// only be added at the end, as the replay guard's keys contain their indexes. SetClients must not
-// be called concurrently.
+// only be added at the end, so that a mistake in the file disables none, and a key cannot move to
+// another client. SetClients must not be called concurrently.
 func (c *Controller) SetClients(cfg *config.ControllerConfig) error {
 	current := c.config.Clients
 	if len(cfg.Clients) < len(current) {
@@ -138,7 +141,9 @@
 				i, cfg.Clients[i].Name, current[i].Name)
 		}
 	}
-	c.Webhook.SetClients(cfg.Clients)
+	if err := c.Webhook.SetClients(cfg.Clients); err != nil {
+		return err
+	}
 	c.config.Clients = cfg.Clients
 	return nil
 }
--- a/internal/controller/golden_test.go
+++ b/internal/controller/golden_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,21 +20,52 @@
 // The state in a handover is written by one version of the program and read by another.
 func TestHandoverStateKeepsItsFormat(t *testing.T) {
 	for name, state := range map[string]handoverState{
-		"legacy.json": {
-			Webhook:  webhook.State{Known: []replayguard.EntryState{{Key: replayguard.Key{Client: 1, ID: "msg_a"}, LastTimestamp: 2, Digest: []byte{3}, Status: 200}}, Barrier: 4, Durable: 5, Highest: 6},
+		"state2.json": {
+			Version: handoverVersion,
+			Webhook: webhook.State{
+				State:     replayguard.State{Known: []replayguard.EntryState{{Key: replayguard.Key{Client: "shop", ID: "msg_a"}, LastTimestamp: 2, Digest: []byte{3}, Status: 200}}, Barrier: 4, Highest: 6, Swept: 5},
+				KeyOwners: webhook.KeyOwners{"f1": "shop"},
+			},
+			RPCKeys:  rpcKeys{Classes: "d1", Longest: 11, Inherited: 12},
 			Budget:   scheduler.BudgetHandover{Orders: []time.Duration{7}, Arrivals: []time.Duration{8, 9}},
 			InFlight: 10,
 		},
-		"legacy_empty.json": {},
+		"state2_empty.json": {},
 	} {
 		goldenfile.RoundTrip(t, name, state)
 	}
 }
 
+// The state of version 1 identified clients by index. It is refused, and a program that expects
+// version 1 refuses that of version 2.
+func TestHandoverStatesOfOtherVersionsAreRefused(t *testing.T) {
+	for _, name := range []string{"state1.json", "state1_empty.json"} {
+		if _, err := decodeHandoverState(goldenfile.Read(t, name)); err == nil || !strings.Contains(err.Error(), "version 1") {
+			t.Errorf("%s: error %v, want one that names version 1", name, err)
+		}
+	}
+	if _, err := decodeHandoverState([]byte(`{"Version":3}`)); err == nil {
+		t.Error("a state of version 3 was decoded")
+	}
+	var version1 struct {
+		Webhook struct {
+			Known []struct {
+				Key struct{ Client int }
+			}
+		} `json:"Front"`
+	}
+	if json.Unmarshal(goldenfile.Read(t, "state1.json"), &version1) != nil {
+		t.Error("version 1 cannot decode its own state")
+	}
+	if json.Unmarshal(goldenfile.Read(t, "state2.json"), &version1) == nil {
+		t.Error("version 1 decodes a state of version 2")
+	}
+}
+
 // The successor receives how a call ended: with its answer, without it if the answer belongs to a
 // model's version or is too long, or as rejected.
 func TestEndedCallsKeepTheirFormat(t *testing.T) {
-	key := replayguard.Key{Client: 1, ID: "msg_a"}
+	key := replayguard.Key{Client: "shop", ID: "msg_a"}
 	served := replayguard.Answer{Status: 200, Type: "application/json", Body: []byte(`{"a":"<b>"}`)}
 	long := make([]byte, daemon.MaxPacketBody)
 	for name, tt := range map[string]struct {
@@ -48,6 +80,10 @@
 			answer: replayguard.Answer{Rejected: true, Status: 503},
 			end:    endedCall{Key: key, Answer: replayguard.Answer{Rejected: true, Status: 503}},
 		},
+		"ended_refused_long.json": {
+			answer: replayguard.Answer{Rejected: true, MayHaveRun: true, Status: 503, Body: long},
+			end:    endedCall{Key: key, Answer: replayguard.Answer{Rejected: true, MayHaveRun: true, Status: 503}},
+		},
 		"ended_version.json": {
 			answer: replayguard.Answer{Status: 200, Tag: gateway.VersionBinding{}, Body: []byte("x")},
 			end:    endedCall{Key: key, Answer: replayguard.Answer{Status: 200}, NotCached: true},
--- a/internal/controller/handover_predecessor.go
+++ b/internal/controller/handover_predecessor.go
@@ -142,6 +142,8 @@
 	c := h.controller
 	c.log.Info().Int("open", c.Gateway.OpenRequests()).Msg("handover: paused")
 	state := handoverState{
+		Version: handoverVersion,
+		RPCKeys: c.rpcKeysForSuccessor(),
 		Webhook: c.Webhook.Pause(func(k replayguard.Key, a replayguard.Answer) {
 			h.endedCalls <- endedCall{Key: k, Answer: a}
 		}),
--- a/internal/controller/handover_successor.go
+++ b/internal/controller/handover_successor.go
@@ -66,7 +66,7 @@
 		case daemon.ApplyPacket:
 			state = append(state, p.body...)
 		case daemon.TakeState:
-			if err := json.Unmarshal(state, &h.state); err != nil {
+			if h.state, err = decodeHandoverState(state); err != nil {
 				return nil, err
 			}
 			return start(h)
--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -284,8 +284,8 @@
 			t.Fatal(err)
 		}
 		m := sign(t, commonSecret, "c", "known", "unsafe-1", `{}`, time.Now().Add(-3*time.Second))
-		state := handoverState{Webhook: webhook.State{Highest: time.Now().Unix(), Durable: time.Now().Unix() + 10, Known: []replayguard.EntryState{
-			{Key: replayguard.Key{ID: "known"}, LastTimestamp: time.Now().Unix() - 3, Running: true, Digest: bodyDigest("unsafe-1", m)}}}}
+		state := handoverState{Version: handoverVersion, Webhook: webhook.State{State: replayguard.State{Highest: time.Now().Unix(), Known: []replayguard.EntryState{
+			{Key: replayguard.Key{Client: "shop", ID: "known"}, LastTimestamp: time.Now().Unix() - 3, Running: true, Digest: bodyDigest("unsafe-1", m)}}}}}
 		text, _ := json.Marshal(state)
 		go func() {
 			uc, err := links.AcceptUnix()
@@ -445,7 +445,8 @@
 	}
 	now := time.Now()
 	g := replayguard.NewGuard(replayguard.Settings{MaxAge: time.Minute, MaxClockSkew: time.Second, WatermarkStep: time.Second, MaxEntries: 9, MaxAnswerBytes: 99}, now, time.Time{})
-	g.Import([]replayguard.EntryState{{Key: k, LastTimestamp: now.Unix() - 2, Running: true, Digest: make([]byte, 32)}}, 0, now.Unix()+5, 0)
+	g.WatermarkSaved(now.Add(5 * time.Second))
+	g.Import(replayguard.State{Known: []replayguard.EntryState{{Key: k, LastTimestamp: now.Unix() - 2, Running: true, Digest: make([]byte, 32)}}})
 	g.CompleteUncached(k)
 	if v, _, _ := g.Admit(now, replayguard.Message{Key: k, Timestamp: now.Add(-time.Second)}); v != replayguard.AnswerEvicted {
 		t.Errorf("verdict %v, want AnswerEvicted: the message neither runs again nor gets an answer", v)
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -24,8 +24,9 @@
 	rc.Deadline = c.webhookConfig.Deadline
 	rc.Idempotency = c.webhookConfig.Idempotency
 	rc.Models = c.webhookConfig.Models
-	if c.options.Predecessor != nil {
+	if p := c.options.Predecessor; p != nil {
 		rc.TakeoverTime = c.options.Clock.Now()
+		rc.KeysUnknownUntil = c.rpcKeysUnknownUntil
 	}
 	c.RPC = jsonrpc.New(rc)
 	c.events.rpc.Store(c.RPC)
--- a/internal/controller/start.go
+++ b/internal/controller/start.go
@@ -170,6 +170,7 @@
 	fc.Functions = c.functions.Find
 	fc.Deadline = func(class int) time.Duration { return cfg.Settings.Classes[class].Deadline }
 	fc.Idempotency = func(class int) scheduler.Idempotency { return cfg.Settings.Classes[class].Idempotency }
+	fc.HarmlessRetry = func(class int) bool { return cfg.Settings.Classes[class].HarmlessRetry() }
 	if cfg.RegistryAddr != "" {
 		fc.Models = c.models
 		if wrap := c.options.Models; wrap != nil {
@@ -179,9 +180,10 @@
 	if p := c.options.Predecessor; p != nil {
 		fc.State = &p.state.Webhook
 		c.Gateway.InheritBudget(p.state.Budget)
+		c.inheritRPCKeys(p.state.RPCKeys)
 	}
 	if c.Webhook, err = webhook.New(fc, cfg.Clients); err != nil {
-		return fmt.Errorf("replay watermark: %w", err)
+		return err
 	}
 	c.webhookConfig = fc
 	return nil
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -89,8 +89,7 @@
 	// DeadlineExceeded tells, if failed, that the deadline passed while an attempt was in flight,
 	// rather than that no further attempt was possible.
 	DeadlineExceeded bool
-	// MayHaveRun tells, if the client closed or the version was superseded, that an attempt may
-	// have run.
+	// MayHaveRun tells that an attempt may have run. It is set unless the request was served.
 	MayHaveRun bool
 	// Verdict is why a call was superseded: the alias has left the version, or this controller's
 	// lease has expired.
--- a/internal/gateway/end_to_end_test.go
+++ b/internal/gateway/end_to_end_test.go
@@ -83,8 +83,9 @@
 			}
 			return nil
 		},
-		Deadline:    func(int) time.Duration { return 2 * time.Second },
-		Idempotency: func(int) scheduler.Idempotency { return scheduler.Idempotent },
+		Deadline:      func(int) time.Duration { return 2 * time.Second },
+		Idempotency:   func(int) scheduler.Idempotency { return scheduler.Idempotent },
+		HarmlessRetry: func(int) bool { return true },
 		Replay: replayguard.Settings{
 			MaxAge: time.Minute, MaxClockSkew: 5 * time.Second, WatermarkStep: 2 * time.Second,
 			MaxEntries: 1000, MaxAnswerBytes: 1 << 20,
--- a/internal/ingress/bind.go
+++ b/internal/ingress/bind.go
@@ -49,6 +49,8 @@
 	// version b, and release must be called once the answer has been written or will never be: a
 	// migration of the alias waits for it.
 	Deliver func(a gateway.Answer, b *gateway.VersionBinding, release func())
+
+	mayHaveRun bool // under a version that its alias has left
 }
 
 // Run resolves a call's alias and submits the call. If the alias leaves the version before the call
@@ -61,7 +63,9 @@
 func (b *Binder) run(c *BoundCall, restarts int) {
 	function, binding, verdict := b.Models.Bind(c.Model, c.Alias)
 	if verdict != registry.Allowed {
-		c.Deliver(unresolvedAnswer(verdict), nil, nil)
+		a := unresolvedAnswer(verdict)
+		a.MayHaveRun = c.mayHaveRun
+		c.Deliver(a, nil, nil)
 		return
 	}
 	binding.Restarts = restarts
@@ -86,6 +90,8 @@
 // deliver delivers the answer of a call, unless the call is restarted. The binding of a served call
 // ends when its answer has been written, that of any other at once.
 func (b *Binder) deliver(c *BoundCall, class int, binding *gateway.VersionBinding, a gateway.Answer) {
+	c.mayHaveRun = c.mayHaveRun || a.MayHaveRun
+	a.MayHaveRun = c.mayHaveRun
 	unbind := func() {
 		b.Models.Unbind(*binding, a.Kind == gateway.Served || a.Kind == gateway.Failed, a.Kind == gateway.Failed)
 	}
@@ -105,7 +111,7 @@
 		b.Restarts.Add(1)
 		b.run(c, binding.Restarts+1)
 	default:
-		c.Deliver(gateway.Answer{Kind: gateway.Rejected, Verdict: a.Verdict}, nil, nil)
+		c.Deliver(gateway.Answer{Kind: gateway.Rejected, Verdict: a.Verdict, MayHaveRun: a.MayHaveRun}, nil, nil)
 	}
 }
 
--- a/internal/ingress/jsonrpc/call.go
+++ b/internal/ingress/jsonrpc/call.go
@@ -122,8 +122,8 @@
 	}
 	// The previous process accepted calls until TakeoverTime. One of them may have run with this
 	// key as late as its deadline, and the key window begins then.
-	remaining := s.cfg.TakeoverTime + s.cfg.Deadline(class) + s.cfg.KeyWindow(class) - s.cfg.Clock.Now()
-	if remaining > 0 {
+	until := max(s.cfg.TakeoverTime+s.cfg.Deadline(class)+s.cfg.KeyWindow(class), s.cfg.KeysUnknownUntil)
+	if remaining := until - s.cfg.Clock.Now(); remaining > 0 {
 		return rejection(CodeRejected, "the process before may have run this key", remaining+time.Millisecond)
 	}
 	return nil
--- a/internal/ingress/jsonrpc/server.go
+++ b/internal/ingress/jsonrpc/server.go
@@ -46,9 +46,11 @@
 	// TakeoverTime is when this process took over from another, whose idempotency keys it does not
 	// know; 0: it did not take over. Calls with a key are rejected until the calls that the other
 	// process accepted must have ended and the key window of their class has passed.
-	TakeoverTime   time.Duration
-	MaxKeys        int // calls with an idempotency key that are remembered; 10000 by default
-	MaxCachedBytes int // total size of their cached answers; 16 MiB by default
+	TakeoverTime time.Duration
+	// KeysUnknownUntil is until when calls with a key are rejected at least, whatever their class.
+	KeysUnknownUntil time.Duration
+	MaxKeys          int // calls with an idempotency key that are remembered; 10000 by default
+	MaxCachedBytes   int // total size of their cached answers; 16 MiB by default
 }
 
 // setDefaults replaces zero bounds by their defaults.
--- a/internal/ingress/webhook/call.go
+++ b/internal/ingress/webhook/call.go
@@ -45,7 +45,7 @@
 
 // submitAndAwait submits a new call and waits for its answer.
 func (h *Handler) submitAndAwait(m message, call *inFlightCall, retry bool) *http1.Response {
-	client := (*h.clients.Load())[m.client]
+	client := m.client
 	class := m.function.Class
 	gatewayCall := gateway.Call{
 		ID:       m.id,
--- a/internal/ingress/webhook/golden_test.go
+++ b/internal/ingress/webhook/golden_test.go
@@ -35,15 +35,18 @@
 func TestHandedOverStateKeepsFormat(t *testing.T) {
 	for name, state := range map[string]State{
 		"state.json": {
-			Known: []replayguard.EntryState{{
-				Key:           replayguard.Key{Client: 1, ID: "msg_a"},
-				LastTimestamp: 5,
-				Digest:        []byte{1, 2},
-				Running:       true,
-			}},
-			Barrier: 6,
-			Durable: 7,
-			Highest: 8,
+			State: replayguard.State{
+				Known: []replayguard.EntryState{{
+					Key:           replayguard.Key{Client: "shop", ID: "msg_a"},
+					LastTimestamp: 5,
+					Digest:        []byte{1, 2},
+					Running:       true,
+				}},
+				Barrier: 6,
+				Highest: 8,
+				Swept:   7,
+			},
+			KeyOwners: KeyOwners{"f1": "shop"},
 		},
 		"state_empty.json": {},
 	} {
--- a/internal/ingress/webhook/handler.go
+++ b/internal/ingress/webhook/handler.go
@@ -1,6 +1,7 @@
 package webhook
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,7 @@
 	Functions      func(name string) *gateway.Function // returns nil for an unknown name
 	Deadline       func(class int) time.Duration       // maximum timeout of a call of the class
 	Idempotency    func(class int) scheduler.Idempotency
+	HarmlessRetry  func(class int) bool // a call of the class may run again
 	Clock          clock.Clock
 	Replay         replayguard.Settings
 	Watermark      WatermarkStore // stores the replay guard's watermark
@@ -89,6 +91,7 @@
 
 	mu         sync.Mutex
 	guard      *replayguard.Guard
+	keyOwners  KeyOwners // of all keys since the first process that handed over
 	inFlight   map[replayguard.Key]*inFlightCall
 	pauseEnded chan struct{} // closed when the current pause ends; nil: not paused
 	handedOver bool          // a successor process serves all further requests
@@ -97,11 +100,11 @@
 }
 
 // New returns a Handler whose watermark has been saved. It fails if the watermark cannot be loaded
-// or saved.
+// or saved, or if a key of the previous process now belongs to another client.
 func New(cfg Config, clients []Client) (*Handler, error) {
 	watermark, err := cfg.Watermark.Load()
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("replay watermark: %w", err)
 	}
 	if cfg.MaxJoin == 0 {
 		cfg.MaxJoin = defaultMaxJoin
@@ -113,7 +116,8 @@
 		stop:     make(chan struct{}),
 	}
 	if s := cfg.State; s != nil {
-		h.guard.Import(s.Known, s.Barrier, s.Durable, s.Highest)
+		h.guard.Import(s.State)
+		h.keyOwners = s.KeyOwners
 	}
 	h.binder = ingress.Binder{
 		Models:      cfg.Models,
@@ -121,19 +125,30 @@
 		Clock:       cfg.Clock,
 		Restarts:    &h.Counts.Restarted,
 	}
-	h.clients.Store(&clients)
-	if err := h.writeWatermark(); err != nil {
+	if err := h.SetClients(clients); err != nil {
 		return nil, err
 	}
+	if err := h.writeWatermark(); err != nil {
+		return nil, fmt.Errorf("replay watermark: %w", err)
+	}
 	h.wg.Add(1)
 	go h.writeWatermarks()
 	return h, nil
 }
 
-// SetClients replaces the clients and their keys. Calls in flight are not affected. The replay
-// guard identifies clients by their index, so the list may only be extended at its end or have
-// entries changed in place.
-func (h *Handler) SetClients(clients []Client) { h.clients.Store(&clients) }
+// SetClients replaces the clients and their keys. Calls in flight are not affected. It changes
+// nothing and returns an error if a key has moved from one client to another: see KeyOwners.
+func (h *Handler) SetClients(clients []Client) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	owners, err := h.keyOwners.with(clients)
+	if err != nil {
+		return err
+	}
+	h.keyOwners = owners
+	h.clients.Store(&clients)
+	return nil
+}
 
 // BeginStop makes the Handler reject all further requests and close their connections.
 func (h *Handler) BeginStop() { h.stopping.Store(true) }
--- a/internal/ingress/webhook/handover.go
+++ b/internal/ingress/webhook/handover.go
@@ -1,15 +1,17 @@
 package webhook
 
-import "kitehub/internal/replayguard"
+import (
+	"maps"
 
-// State is the replay guard's state that is handed over to a successor process, as
-// replayguard.Guard.Export returns it. The successor may run another version of the program, so the
-// JSON keys are fixed.
+	"kitehub/internal/replayguard"
+)
+
+// State is what is handed over to a successor process: the replay guard's state, and whose keys
+// verified its messages. The successor may run another version of the program, so the JSON keys are
+// fixed.
 type State struct {
-	Known   []replayguard.EntryState `json:"Known"`
-	Barrier int64                    `json:"Barrier"`
-	Durable int64                    `json:"Durable"`
-	Highest int64                    `json:"Highest"`
+	replayguard.State
+	KeyOwners KeyOwners `json:"KeyOwners"`
 }
 
 // Pause makes all further messages wait, and returns the state of those accepted before. From then
@@ -20,9 +22,7 @@
 	defer h.mu.Unlock()
 	h.onCallEnd = onCallEnd
 	h.pauseEnded = make(chan struct{})
-	var s State
-	s.Known, s.Barrier, s.Durable, s.Highest = h.guard.Export()
-	return s
+	return State{h.guard.Export(), maps.Clone(h.keyOwners)}
 }
 
 // Resume ends a pause: the waiting messages are served by this process.
--- a/internal/ingress/webhook/message.go
+++ b/internal/ingress/webhook/message.go
@@ -38,7 +38,7 @@
 		sender:   from,
 		conn:     c,
 		request:  r,
-		key:      replayguard.Key{Client: from.client, ID: from.id},
+		key:      replayguard.Key{Client: from.client.Name, ID: from.id},
 		function: function,
 		alias:    alias,
 	}
@@ -66,6 +66,8 @@
 	switch a.verdict {
 	case replayguard.AnswerEvicted:
 		return problemResponse(502, "failed", "the call has ended; its answer was too large to keep", nil)
+	case replayguard.MayHaveRun:
+		return problemResponse(502, "failed", "an earlier try may have run, and the call must not run twice", nil)
 	case replayguard.Replay:
 		h.Counts.Replayed.Add(1)
 		return problemResponse(409, "replayed", "this message was taken before", nil)
@@ -118,7 +120,12 @@
 // admit asks the replay guard about a message, once no pause is in effect. It returns false if a
 // successor process is to serve the message.
 func (h *Handler) admit(m message) (a admission, ok bool) {
-	signed := replayguard.Message{Key: m.key, Timestamp: m.timestamp, Digest: m.digest()}
+	signed := replayguard.Message{
+		Key:           m.key,
+		Timestamp:     m.timestamp,
+		Digest:        m.digest(),
+		HarmlessRetry: h.cfg.HarmlessRetry(m.function.Class),
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for h.pauseEnded != nil {
--- a/internal/ingress/webhook/response.go
+++ b/internal/ingress/webhook/response.go
@@ -44,11 +44,13 @@
 // cacheableAnswer returns the form of the gateway's final answer that the replay guard caches.
 func cacheableAnswer(a gateway.Answer) replayguard.Answer {
 	resp := answerResponse(a)
+	rejected := a.Kind == gateway.Rejected
 	return replayguard.Answer{
-		Rejected: a.Kind == gateway.Rejected,
-		Status:   resp.Status,
-		Type:     resp.Header.Get("Content-Type"),
-		Body:     resp.Body,
+		Rejected:   rejected,
+		MayHaveRun: rejected && a.MayHaveRun,
+		Status:     resp.Status,
+		Type:       resp.Header.Get("Content-Type"),
+		Body:       resp.Body,
 	}
 }
 
--- a/internal/ingress/webhook/verify.go
+++ b/internal/ingress/webhook/verify.go
@@ -10,7 +10,7 @@
 
 // A sender is what the signature of a request proves about its origin.
 type sender struct {
-	client    int          // index in the list of clients
+	client    *Client
 	signKey   *signing.Key // signs the response; nil: it is unsigned
 	id        string
 	timestamp time.Time
@@ -36,12 +36,14 @@
 	}
 	m := signing.Message{ID: from.id, Timestamp: timestamp, Body: r.Body}
 	signatures := header.Get("webhook-signature")
-	for i, client := range *h.clients.Load() {
+	clients := *h.clients.Load()
+	for i := range clients {
+		client := &clients[i]
 		for _, key := range client.Keys {
 			if !key.Verify(m, signatures) {
 				continue
 			}
-			from.client = i
+			from.client = client
 			from.signKey = key
 			if !key.CanSign() {
 				from.signKey = client.SigningKey
--- a/internal/replayguard/guard.go
+++ b/internal/replayguard/guard.go
@@ -12,9 +12,9 @@
 	MaxAnswerBytes int           // limit on the total size of the bodies of cached answers
 }
 
-// A Key identifies a message. Ids are unique within a client.
+// A Key identifies a message. Ids are unique within a client, which is identified by its name.
 type Key struct {
-	Client int    `json:"Client"`
+	Client string `json:"Client"`
 	ID     string `json:"ID"`
 }
 
@@ -23,18 +23,22 @@
 	Key
 	Timestamp time.Time // when the client signed it, in whole seconds
 	Digest    [32]byte  // digest of the signed body and the called function
+	// HarmlessRetry says that the call may run again although an earlier attempt may have run.
+	HarmlessRetry bool
 }
 
 // A Verdict says what to do with a message.
 type Verdict int
 
-// New, Retry, Join, Cached and AnswerEvicted accept the message; the other verdicts reject it.
+// New, Retry, Join, Cached, AnswerEvicted and MayHaveRun accept the message; the other verdicts
+// reject it.
 const (
 	New            Verdict = iota + 1 // execute it
 	Retry                             // execute it again: an attempt was rejected without effect
 	Join                              // an earlier attempt is in flight: wait for its answer
 	Cached                            // an earlier attempt has completed: send its cached answer
 	AnswerEvicted                     // an earlier attempt has completed, but its answer is not cached
+	MayHaveRun                        // an earlier attempt was rejected but may have run: fail the call
 	Replay                            // this message, or a newer one with its id, was accepted before
 	IDReused                          // the id was used with another body or for another function
 	Stale                             // the timestamp is too old
@@ -45,10 +49,13 @@
 
 // An Answer is the final outcome of a call.
 type Answer struct {
-	Rejected bool   `json:"Refused"` // the call had no effect, so the client may retry it
-	Status   int    `json:"Status"`  // HTTP status code
-	Type     string `json:"Type"`    // media type of Body
-	Body     []byte `json:"Body"`
+	Rejected bool `json:"Refused"` // the client may retry the call
+	// MayHaveRun says that the call was rejected although it may have run: it was of a class that
+	// may run again.
+	MayHaveRun bool   `json:"MayHaveRun"`
+	Status     int    `json:"Status"` // HTTP status code
+	Type       string `json:"Type"`   // media type of Body
+	Body       []byte `json:"Body"`
 	// Tag is opaque to the guard. It lets the caller tell whether the answer is still valid.
 	Tag any `json:"Tag"`
 }
@@ -59,6 +66,7 @@
 	digest        [32]byte
 	running       bool
 	answerEvicted bool // the call has completed, and its answer is not cached
+	mayHaveRun    bool // an attempt may have run; not known of attempts that are not rejected
 	answer        Answer
 }
 
@@ -129,6 +137,8 @@
 		return Join, Answer{}, 0
 	case e.answerEvicted:
 		return AnswerEvicted, Answer{}, 0
+	case e.answer.Rejected && e.mayHaveRun && !m.HarmlessRetry:
+		return MayHaveRun, Answer{}, 0
 	case e.answer.Rejected:
 		g.dropAnswer(e)
 		e.running = true
@@ -171,6 +181,7 @@
 		return
 	}
 	e.running = false
+	e.mayHaveRun = e.mayHaveRun || answer.MayHaveRun
 	if g.bodyBytes+len(answer.Body) > g.settings.MaxAnswerBytes {
 		if !answer.Rejected {
 			e.answerEvicted = true
@@ -192,11 +203,12 @@
 }
 
 // InvalidateAnswer drops a cached answer that is no longer valid and was never sent. A retry is
-// then executed again.
+// then executed again, although the call has run.
 func (g *Guard) InvalidateAnswer(key Key) {
 	if e := g.entries[key]; e != nil && !e.running {
 		g.dropAnswer(e)
 		e.answer.Rejected = true
+		e.mayHaveRun = true
 		e.answerEvicted = false
 	}
 }
--- a/internal/replayguard/guard_test.go
+++ b/internal/replayguard/guard_test.go
@@ -27,7 +27,7 @@
 func at(seconds int64) time.Time { return time.Unix(baseTime+seconds, 0) }
 
 func message(id string, timestamp int64) Message {
-	return Message{Key: Key{0, id}, Timestamp: at(timestamp), Digest: [32]byte{1}}
+	return Message{Key: Key{"", id}, Timestamp: at(timestamp), Digest: [32]byte{1}}
 }
 
 // newGuard returns a guard that started without a watermark and has written its first one.
@@ -77,14 +77,14 @@
 	g := newGuard(100)
 	expectVerdict(t, g, 100, message("a", 100), New)
 	otherClient := message("a", 100)
-	otherClient.Client = 1
+	otherClient.Client = "other"
 	expectVerdict(t, g, 100, otherClient, New)
 }
 
 func TestRetryAfterEndGetsCachedAnswer(t *testing.T) {
 	g := newGuard(102)
 	expectVerdict(t, g, 102, message("a", 102), New)
-	g.Complete(Key{0, "a"}, Answer{Status: 200, Body: []byte("served")})
+	g.Complete(Key{"", "a"}, Answer{Status: 200, Body: []byte("served")})
 	if cached := expectVerdict(t, g, 103, message("a", 103), Cached); string(cached.Body) != "served" {
 		t.Errorf("cached answer %q", cached.Body)
 	}
@@ -93,7 +93,7 @@
 func TestRetryAfterRejectionIsExecutedOnce(t *testing.T) {
 	g := newGuard(103)
 	expectVerdict(t, g, 103, message("b", 103), New)
-	g.Complete(Key{0, "b"}, Answer{Rejected: true, Status: 503})
+	g.Complete(Key{"", "b"}, Answer{Rejected: true, Status: 503})
 	expectVerdict(t, g, 104, message("b", 104), Retry)
 	expectVerdict(t, g, 104, message("b", 104), Replay)
 	expectVerdict(t, g, 104, message("b", 105), Join)
@@ -110,10 +110,10 @@
 func TestAnswerThatDoesNotFitIsNotCached(t *testing.T) {
 	g := newGuard(102)
 	expectVerdict(t, g, 102, message("a", 102), New)
-	g.Complete(Key{0, "a"}, Answer{Status: 200, Body: []byte("served")})
+	g.Complete(Key{"", "a"}, Answer{Status: 200, Body: []byte("served")})
 	expectVerdict(t, g, 106, message("big", 106), New)
 	// 6 + 95 bytes exceed the limit.
-	g.Complete(Key{0, "big"}, Answer{Status: 200, Body: make([]byte, 95)})
+	g.Complete(Key{"", "big"}, Answer{Status: 200, Body: make([]byte, 95)})
 	expectVerdict(t, g, 107, message("big", 107), AnswerEvicted)
 }
 
@@ -123,7 +123,7 @@
 		expectVerdict(t, g, 107, message(fmt.Sprint("id", i), 107), New)
 	}
 	expectVerdict(t, g, 107, message("further", 107), AtCapacity)
-	g.Complete(Key{0, "id0"}, Answer{Status: 200})
+	g.Complete(Key{"", "id0"}, Answer{Status: 200})
 	expectVerdict(t, g, 400, message("further", 400), New)
 	// The calls in flight stay, and the new call replaces the completed one.
 	if n := g.Len(); n != settings.MaxEntries {
@@ -250,7 +250,7 @@
 			continue
 		}
 		wasRejected := rapid.Bool().Draw(t, "rejected")
-		c.guard.Complete(Key{0, id}, Answer{Rejected: wasRejected})
+		c.guard.Complete(Key{"", id}, Answer{Rejected: wasRejected})
 		c.rejected[id] = wasRejected
 		delete(c.running, id)
 		return
--- a/internal/replayguard/handover_test.go
+++ b/internal/replayguard/handover_test.go
@@ -12,7 +12,7 @@
 // returns them.
 var remembered = []EntryState{
 	{
-		Key:           Key{Client: 1, ID: "msg_kept"},
+		Key:           Key{Client: "a", ID: "msg_kept"},
 		LastTimestamp: 1000001,
 		Digest:        make([]byte, 32),
 		Status:        200,
@@ -20,17 +20,18 @@
 		Body:          []byte(`{"a":"<b>"}`),
 	},
 	{
-		Key:           Key{Client: 2, ID: "msg_running"},
+		Key:           Key{Client: "b", ID: "msg_running"},
 		LastTimestamp: 1000002,
 		Digest:        append([]byte{1, 2, 255}, make([]byte, 29)...),
 		Running:       true,
 	},
-	{Key: Key{Client: 3, ID: "msg_dropped"}, LastTimestamp: 1000003, Digest: make([]byte, 32), AnswerEvicted: true},
+	{Key: Key{Client: "c", ID: "msg_dropped"}, LastTimestamp: 1000003, Digest: make([]byte, 32), AnswerEvicted: true},
 	{
-		Key:           Key{Client: 4, ID: "msg_refused"},
+		Key:           Key{Client: "d", ID: "msg_refused"},
 		LastTimestamp: 1000004,
 		Digest:        make([]byte, 32),
 		Rejected:      true,
+		MayHaveRun:    true,
 		Status:        503,
 		Type:          "application/problem+json",
 	},
@@ -40,9 +41,8 @@
 // another version of the program.
 func TestExportedMessagesAreAsBefore(t *testing.T) {
 	guard := newGuard(0)
-	guard.Import(remembered, 1, 2, 3)
-	exported, _, _, _ := guard.Export()
-	written, err := json.Marshal(exported)
+	guard.Import(State{Known: remembered})
+	written, err := json.Marshal(guard.Export().Known)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -65,8 +65,8 @@
 		Answer Answer `json:"answer"`
 	}
 	completions := []completion{
-		{Key{1, "msg_a"}, Answer{Status: 200, Type: "application/json", Body: []byte("{}")}},
-		{Key{2, "msg_b"}, Answer{Rejected: true, Status: 503}},
+		{Key{"a", "msg_a"}, Answer{Status: 200, Type: "application/json", Body: []byte("{}")}},
+		{Key{"b", "msg_b"}, Answer{Rejected: true, Status: 503}},
 		{},
 	}
 	written, err := json.Marshal(completions)
@@ -87,5 +87,5 @@
 // Guards against a rename in Go that changes the format: each field that is stored or sent has an
 // explicit JSON key.
 func TestKeysDoNotFollowFieldNames(t *testing.T) {
-	goldenfile.RequireJSONTags(t, Key{}, Answer{}, EntryState{})
+	goldenfile.RequireJSONTags(t, Key{}, Answer{}, EntryState{}, State{})
 }
--- a/internal/signing/sign.go
+++ b/internal/signing/sign.go
@@ -15,6 +15,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/base64"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"hash"
@@ -28,9 +29,10 @@
 // secret for HMAC-SHA256 (v1), "whsk_" an ed25519 private key and "whpk_" an ed25519 public key
 // (v1a). A Key is safe for concurrent use.
 type Key struct {
-	public  ed25519.PublicKey
-	private ed25519.PrivateKey
-	macPool *sync.Pool // of hash.Hash; nil for ed25519
+	public      ed25519.PublicKey
+	private     ed25519.PrivateKey
+	macPool     *sync.Pool // of hash.Hash; nil for ed25519
+	fingerprint string
 }
 
 // Limits of the specification for the size of a shared secret, in bytes.
@@ -59,7 +61,7 @@
 		if len(raw) != ed25519.PublicKeySize {
 			return nil, fmt.Errorf("whpk_ key has %d bytes, want %d", len(raw), ed25519.PublicKeySize)
 		}
-		return &Key{public: raw}, nil
+		return newEd25519Key(raw, nil), nil
 	case "whsk":
 		switch len(raw) {
 		case ed25519.SeedSize:
@@ -69,7 +71,7 @@
 			return nil, fmt.Errorf("whsk_ key has %d bytes, want %d or %d", len(raw), ed25519.SeedSize, ed25519.PrivateKeySize)
 		}
 		private := ed25519.PrivateKey(raw)
-		return &Key{private: private, public: private.Public().(ed25519.PublicKey)}, nil
+		return newEd25519Key(private.Public().(ed25519.PublicKey), private), nil
 	}
 	return nil, errors.New("key has no whsec_, whpk_ or whsk_ prefix")
 }
@@ -77,9 +79,27 @@
 // newHMACKey returns the key for a shared secret. Its MACs are pooled, because the setup of each
 // costs two hashes.
 func newHMACKey(raw []byte) *Key {
-	return &Key{macPool: &sync.Pool{New: func() any { return hmac.New(sha256.New, raw) }}}
+	return &Key{
+		macPool:     &sync.Pool{New: func() any { return hmac.New(sha256.New, raw) }},
+		fingerprint: fingerprintOf("v1", raw),
+	}
+}
+
+// newEd25519Key returns the key for a public key, and for its private key unless that is nil.
+func newEd25519Key(public ed25519.PublicKey, private ed25519.PrivateKey) *Key {
+	return &Key{public: public, private: private, fingerprint: fingerprintOf("v1a", public)}
 }
 
+// fingerprintOf returns the fingerprint of what verifies signatures of a version.
+func fingerprintOf(version string, raw []byte) string {
+	sum := sha256.Sum256(append([]byte("kitehub key fingerprint "+version+" "), raw...))
+	return hex.EncodeToString(sum[:])
+}
+
+// Fingerprint returns a text that two keys share if and only if they verify the same signatures. It
+// does not reveal the key.
+func (k *Key) Fingerprint() string { return k.fingerprint }
+
 // DeriveSecret returns the text of the secret that a webhook endpoint shares with a client. It is
 // derived from the client's common secret with HKDF-SHA256 (RFC 5869), with the endpoint's name as
 // info. As each endpoint has its own secret, a message to one endpoint does not verify at another.
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -25,9 +25,13 @@
 // mayReject reports whether a request may be answered with a Reject, which tells the client that it
 // may safely send the request again.
 func (r *retryRules) mayReject(request *request) bool {
-	class := &r.classes[request.Class]
-	return class.Idempotency == Idempotent || request.firstThatMayHaveRun() == nil ||
-		class.Idempotency == IdempotentWithKey && class.DedupScope == AllWorkers
+	return request.firstThatMayHaveRun() == nil || r.classes[request.Class].HarmlessRetry()
+}
+
+// HarmlessRetry reports whether a client may send a request of the class again although an earlier
+// attempt may have run.
+func (c *Class) HarmlessRetry() bool {
+	return c.Idempotency == Idempotent || c.Idempotency == IdempotentWithKey && c.DedupScope == AllWorkers
 }
 
 // maySend reports whether one more attempt of a request may go to a worker.
