To disable a client, its keys are replaced: one without keys is refused

Cause: docs/operate.md and the error of a reload said to remove the keys, but 'kitehub config check' refuses a client without keys (seen: 'clients[0].keys: no key is given'). Text alone; the test of reloads passes.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -132,7 +132,7 @@
 func (c *Controller) SetClients(cfg *config.ControllerConfig) error {
 	current := c.config.Clients
 	if len(cfg.Clients) < len(current) {
-		return fmt.Errorf("clients: %d configured, but %d are active: to disable a client, remove its keys instead",
+		return fmt.Errorf("clients: %d configured, but %d are active: to disable a client, replace its keys instead",
 			len(cfg.Clients), len(current))
 	}
 	for i := range current {
