Take-over: a successor that hung reads the Abort on its link before it serves alone

Cause: the predecessor sends Abort and closes the link. awaitGrant took the failed send of StateTaken for the loss of the predecessor, after which Abort is ignored. And where a packet of the successor was unread when the link closed, the kernel reports the reset before the Abort that is still queued.

Change: awaitGrant leaves the verdict to what is received, and Link.Receive reads on once after a reset. The order of packets then decides: an Abort is always read before the end of the link.

--- a/internal/controller/handover_successor.go
+++ b/internal/controller/handover_successor.go
@@ -119,9 +119,8 @@
 // awaitGrant reports to the predecessor that the state is taken, and returns nil when this process
 // may serve.
 func (h *IncomingHandover) awaitGrant() error {
-	if err := h.link.Send(daemon.StateTaken, nil); err != nil && h.protocol.OnPeerLost() != daemon.ServeAlone {
-		return err
-	}
+	// If this fails, receive tells whether the predecessor is gone or has aborted the handover.
+	h.link.Send(daemon.StateTaken, nil)
 	for {
 		p, err := h.receive()
 		switch p.action {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -246,3 +247,37 @@
 		t.Error(err)
 	}
 }
+
+// A process that closes the link with a packet unread resets it. What it had sent before, such as
+// Abort, was lost to its peer, which took the reset for the end of that process.
+func TestPacketsBeforeAResetArrive(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "h")
+	ln, err := ListenLinks(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	successor, err := DialLink(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer successor.Close()
+	conn, err := ln.AcceptUnix()
+	if err != nil {
+		t.Fatal(err)
+	}
+	predecessor := NewLink(conn)
+	if err := successor.Send(StateTaken, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := predecessor.Send(Abort, nil); err != nil {
+		t.Fatal(err)
+	}
+	predecessor.Close()
+	if kind, _, _, err := successor.Receive(time.Minute); err != nil || kind != Abort {
+		t.Errorf("received %q, error %v, want Abort", kind, err)
+	}
+	if _, _, _, err := successor.Receive(time.Minute); err == nil || errors.Is(err, ErrTimeout) {
+		t.Errorf("error %v, want the end of the link", err)
+	}
+}
--- a/internal/daemon/link.go
+++ b/internal/daemon/link.go
@@ -141,6 +141,11 @@
 		l.conn.SetReadDeadline(time.Now().Add(timeout))
 	}
 	n, oobLen, _, _, err := l.conn.ReadMsgUnix(l.receiveBuf, l.receiveOOB)
+	if errors.Is(err, syscall.ECONNRESET) {
+		// The peer closed the link with a packet of this process unread. The kernel reports that
+		// once, before the peer's packets that are still in the queue.
+		n, oobLen, _, _, err = l.conn.ReadMsgUnix(l.receiveBuf, l.receiveOOB)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, nil, nil, ErrTimeout
 	}
