Take-over: the predecessor resumes if it cannot send the grant

Cause: transferService ignored the error of sending Grant and gave up service in any case, although a packet that could not be sent was never received.

Change: such a handover is aborted, before anything else is given up. It works because a packet on this socket is delivered whole or not at all.

Seen to fail on the code from before: TestPredecessorResumesIfServiceCannotBeGranted (the successor's end takes no packets; calls got no answer). It passes, -race too.

--- a/internal/controller/handover_predecessor.go
+++ b/internal/controller/handover_predecessor.go
@@ -217,8 +217,14 @@
 		return
 	}
 	c.log.Info().Int("open", c.Gateway.OpenRequests()).Msg("handover: successor takes over")
+	// Grant comes first, as the successor accepts no other packet before it. If it cannot be sent,
+	// the successor is gone and has never served.
+	if err := h.link.Send(daemon.Grant, nil); err != nil {
+		c.stopping.Store(false)
+		h.abort(err)
+		return
+	}
 	c.draining.Store(true)
-	h.link.Send(daemon.Grant, nil) // first, as the successor accepts no other packet before it
 	answersSent := h.sendEndedCalls()
 	stopSendingConns := h.sendConns()
 	c.Webhook.HandOver()
