Take-over: whatever can fail in the successor is tried before service is granted

Cause: steps of a start that can fail came after the grant, from which on the predecessor gives up: the RPC socket, the socket for successors, and the PID file in the command. Listeners were known by their index, so that a missing one showed only when it was needed.

Change: Controller.start is prepare, awaitGrant and serve, and serve returns no error, so that nothing behind the grant can fail by construction. Sockets are bound or taken over in prepare and accept nothing yet. Listeners are sent with their names, the one for successors among them, so that a path in use needs no new socket; what the successor does not use is closed after the grant, with its file. The PID file is checked before, and only logged after.

--- a/cmd/kitehub/daemon_test.go
+++ b/cmd/kitehub/daemon_test.go
@@ -101,3 +101,33 @@
 		t.Error(got)
 	}
 }
+
+// A successor whose PID file could not be written ended after its predecessor had given up service,
+// so that no process served. It fails before now, and the predecessor serves on.
+func TestTakeOverWithUnusablePIDFile(t *testing.T) {
+	dir, file, _, _ := startExample(t)
+	socketDir, err := os.MkdirTemp("", "kh") // short, since the path of a socket has a limited length
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { os.RemoveAll(socketDir) })
+	text, _ := os.ReadFile(file)
+	write := func(file, pidFile string) {
+		t.Helper()
+		daemon := "\ndaemon { handover: \"" + filepath.Join(socketDir, "h") + "\" pid_file: \"" + pidFile + "\" }\n"
+		if err := os.WriteFile(file, append(text[:len(text):len(text)], daemon...), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(file, filepath.Join(dir, "pid"))
+	_, addr := serve(t, file)
+	next := filepath.Join(dir, "next.textproto")
+	write(next, filepath.Join(dir, "missing", "pid"))
+	out, err := program("serve", "--config", next, "--take-over").CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "pid file") {
+		t.Errorf("the successor ended with %v: %s", err, out)
+	}
+	if got := status(t, addr, "a", `{}`); got != 200 {
+		t.Errorf("status %d from the predecessor, want 200", got)
+	}
+}
--- a/cmd/kitehub/serve.go
+++ b/cmd/kitehub/serve.go
@@ -202,12 +202,19 @@
 	return err
 }
 
-// takeOver starts the controller as the successor of a running one.
+// takeOver starts the controller as the successor of a running one. Nothing that can fail follows
+// controller.TakeOver, as the predecessor does not resume then.
 func (p *serveProcess) takeOver(o controller.Options) (err error) {
 	d := p.config.Daemon
 	if d.GetHandover() == "" {
 		return errors.New("--take-over: the configuration has no daemon.handover")
 	}
+	pidFile := d.GetPidFile()
+	if pidFile != "" {
+		if err := daemon.CheckPIDFile(pidFile, os.Getpid()); err != nil {
+			return fmt.Errorf("pid file: %w", err)
+		}
+	}
 	p.controller, err = controller.TakeOver(d.Handover, func(s *controller.IncomingHandover) (*controller.Controller, error) {
 		o.Predecessor = s
 		return controller.Start(p.config, o)
@@ -215,9 +222,9 @@
 	if err != nil {
 		return err
 	}
-	if file := d.GetPidFile(); file != "" {
-		if err := daemon.ReplacePID(file, os.Getpid()); err != nil {
-			return err
+	if pidFile != "" {
+		if err := daemon.ReplacePID(pidFile, os.Getpid()); err != nil {
+			p.log.Error().Err(err).Msg("pid file not replaced")
 		}
 	}
 	p.logNotifyError(p.supervisor.MainPID(os.Getpid()))
--- a/internal/controller/golden_test.go
+++ b/internal/controller/golden_test.go
@@ -21,7 +21,6 @@
 func TestHandoverStateKeepsItsFormat(t *testing.T) {
 	for name, state := range map[string]handoverState{
 		"state2.json": {
-			Version: handoverVersion,
 			Webhook: webhook.State{
 				State:     replayguard.State{Known: []replayguard.EntryState{{Key: replayguard.Key{Client: "shop", ID: "msg_a"}, LastTimestamp: 2, Digest: []byte{3}, Status: 200}}, Barrier: 4, Highest: 6, Swept: 5},
 				KeyOwners: webhook.KeyOwners{"f1": "shop"},
@@ -36,29 +35,24 @@
 	}
 }
 
-// The state of version 1 identified clients by index. It is refused, and a program that expects
-// version 1 refuses that of version 2.
-func TestHandoverStatesOfOtherVersionsAreRefused(t *testing.T) {
-	for _, name := range []string{"state1.json", "state1_empty.json"} {
-		if _, err := decodeHandoverState(goldenfile.Read(t, name)); err == nil || !strings.Contains(err.Error(), "version 1") {
-			t.Errorf("%s: error %v, want one that names version 1", name, err)
+// The first packets of both processes carry the version, and the names of the listeners.
+func TestFirstPacketsKeepTheirFormat(t *testing.T) {
+	goldenfile.RoundTrip(t, "hello.json", helloBody{handoverVersion})
+	goldenfile.RoundTrip(t, "sockets.json", socketsBody{handoverVersion, []listenerKind{listenerOfCalls, listenerOfRPC, listenerOfSuccessors}})
+}
+
+// Processes of different versions do not hand over to each other: in version 1, whose Hello and
+// Sockets had no body, the state identified clients by index.
+func TestOtherVersionsOfTheHandoverAreRefused(t *testing.T) {
+	for _, c := range []struct{ body, want string }{{"", "version 1"}, {`{"Version":3}`, "version 3"}, {`{}`, "version 1"}} {
+		var hello helloBody
+		if err := decodeVersioned([]byte(c.body), &hello.Version, &hello); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: error %v, want one that names %s", c.body, err, c.want)
 		}
 	}
-	if _, err := decodeHandoverState([]byte(`{"Version":3}`)); err == nil {
-		t.Error("a state of version 3 was decoded")
-	}
-	var version1 struct {
-		Webhook struct {
-			Known []struct {
-				Key struct{ Client int }
-			}
-		} `json:"Front"`
-	}
-	if json.Unmarshal(goldenfile.Read(t, "state1.json"), &version1) != nil {
-		t.Error("version 1 cannot decode its own state")
-	}
-	if json.Unmarshal(goldenfile.Read(t, "state2.json"), &version1) == nil {
-		t.Error("version 1 decodes a state of version 2")
+	var version1 handoverState
+	if json.Unmarshal(goldenfile.Read(t, "state1.json"), &version1) == nil {
+		t.Error("a state of version 1 was decoded")
 	}
 }
 
@@ -134,5 +128,5 @@
 // Every stored or sent field has an explicit JSON key: renaming the field does not change the
 // format.
 func TestKeysDoNotFollowFieldNames(t *testing.T) {
-	goldenfile.RequireJSONTags(t, handoverState{}, endedCall{}, Status{})
+	goldenfile.RequireJSONTags(t, helloBody{}, socketsBody{}, handoverState{}, endedCall{}, Status{})
 }
--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -15,43 +15,48 @@
 // during that time.
 const handoverStepTimeout = 2 * time.Second
 
-// Indexes of the listeners in the Sockets packet.
-const (
-	webhookListenerIndex = iota
-	rpcListenerIndex
-)
-
-// handoverVersion is the version of handoverState. Version 1 had no number, and identified clients
-// by their index in the predecessor's configuration, which the successor's may change.
+// handoverVersion is the version of the bodies of all packets. In version 1 Hello and Sockets had no
+// body, and clients were identified by their index in the predecessor's configuration, which the
+// successor's may change.
 const handoverVersion = 2
 
+// A helloBody is the body of the Hello packet. The JSON format is fixed.
+type helloBody struct {
+	Version int `json:"Version"`
+}
+
+// A socketsBody is the body of the Sockets packet: which listeners it carries, in their order. The
+// JSON format is fixed.
+type socketsBody struct {
+	Version   int            `json:"Version"`
+	Listeners []listenerKind `json:"Listeners"`
+}
+
+// decodeVersioned decodes the body of a Hello or Sockets packet of the other process, unless that
+// process uses another version.
+func decodeVersioned(body []byte, version *int, into any) error {
+	*version = 1 // an empty body
+	if len(body) > 0 {
+		if err := json.Unmarshal(body, into); err != nil {
+			return err
+		}
+	}
+	if *version != handoverVersion {
+		return fmt.Errorf("the other process uses version %d of the handover, and this one version %d: "+
+			"stop the running process and start the new one", *version, handoverVersion)
+	}
+	return nil
+}
+
 // handoverState is the state that the predecessor sends before the successor serves. The successor
 // may run another version of the program, so the JSON format is fixed.
 type handoverState struct {
-	Version  int                      `json:"Version"`
 	Webhook  webhook.State            `json:"Front"` // includes the state of the replay guard
 	RPCKeys  rpcKeys                  `json:"RPCKeys"`
 	Budget   scheduler.BudgetHandover `json:"Spent"` // of load orders
 	InFlight int                      `json:"Open"`  // calls in flight in the predecessor
 }
 
-// decodeHandoverState decodes the state of a predecessor. It returns an error for a version that
-// this program does not know.
-func decodeHandoverState(text []byte) (state handoverState, err error) {
-	var versioned struct {
-		Version int `json:"Version"`
-	}
-	if err := json.Unmarshal(text, &versioned); err != nil {
-		return state, err
-	}
-	if version := max(1, versioned.Version); version != handoverVersion {
-		return state, fmt.Errorf("the running process hands over version %d of its state, and this program takes over version %d: "+
-			"stop that process and start this one", version, handoverVersion)
-	}
-	err = json.Unmarshal(text, &state)
-	return state, err
-}
-
 // An endedCall reports how a call that was in flight in the predecessor ended. The predecessor
 // sends it while the successor serves. The successor may run another version of the program, so the
 // JSON format is fixed.
--- a/internal/controller/handover_predecessor.go
+++ b/internal/controller/handover_predecessor.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -18,16 +17,13 @@
 // was aborted.
 const relockInterval = 10 * time.Millisecond
 
-// acceptSuccessors listens for successors and serves one handover at a time.
-func (c *Controller) acceptSuccessors() error {
-	if c.config.Daemon.GetHandover() == "" {
-		return nil
-	}
-	ln, err := daemon.ListenLinks(c.config.Daemon.Handover)
-	if err != nil {
-		return fmt.Errorf("daemon.handover: %w", err)
+// acceptSuccessors accepts successors, and serves one handover at a time.
+func (c *Controller) acceptSuccessors() {
+	ln := c.successorListener
+	if ln == nil {
+		return
 	}
-	c.successorListener = ln
+	ln.SetUnlinkOnClose(false) // from here on a successor may use the socket file
 	go func() {
 		for {
 			conn, err := ln.AcceptUnix()
@@ -37,7 +33,6 @@
 			c.handOver(daemon.NewLink(conn))
 		}
 	}()
-	return nil
 }
 
 // HandedOver returns a channel that is closed when a successor serves and nothing is in flight in
@@ -66,10 +61,10 @@
 		endedCalls: make(chan endedCall, c.config.Settings.Limits.MaxOpenRequests+16),
 	}
 	for {
-		action, err := h.receive()
+		action, body, err := h.receive()
 		switch action {
 		case daemon.OfferSockets:
-			err = h.offerSockets()
+			err = h.offerSockets(body)
 		case daemon.Pause:
 			err = h.pause()
 		case daemon.HandOff:
@@ -88,19 +83,19 @@
 }
 
 // receive waits for the next packet of the successor, and returns the action that follows from it.
-func (h *outgoingHandover) receive() (daemon.Action, error) {
-	kind, _, files, err := h.link.Receive(handoverStepTimeout)
+func (h *outgoingHandover) receive() (action daemon.Action, body []byte, err error) {
+	kind, body, files, err := h.link.Receive(handoverStepTimeout)
 	for _, f := range files {
 		f.Close()
 	}
 	if err != nil {
-		return h.protocol.OnPeerLost(), err
+		return h.protocol.OnPeerLost(), nil, err
 	}
-	action, err := h.protocol.OnPacket(kind)
+	action, err = h.protocol.OnPacket(kind)
 	if err != nil {
 		h.link.Send(daemon.Abort, nil)
 	}
-	return action, err
+	return action, body, err
 }
 
 // abort continues as if there had been no handover.
@@ -112,10 +107,14 @@
 	}
 }
 
-// offerSockets sends the listeners. If this process has itself taken over from a predecessor, it
-// first waits until that one is done: a packet of the predecessor must not arrive after this
-// process has handed over.
-func (h *outgoingHandover) offerSockets() error {
+// offerSockets sends the listeners to a successor that sent a Hello packet. If this process has
+// itself taken over from a predecessor, it first waits until that one is done: a packet of the
+// predecessor must not arrive after this process has handed over.
+func (h *outgoingHandover) offerSockets(hello []byte) error {
+	var successor helloBody
+	if err := decodeVersioned(hello, &successor.Version, &successor); err != nil {
+		return err
+	}
 	if h.controller.predecessorDone != nil {
 		select {
 		case <-h.controller.predecessorDone:
@@ -123,16 +122,12 @@
 			return errors.New("the predecessor of this process is not done yet")
 		}
 	}
-	return h.link.Send(daemon.Sockets, nil, h.controller.listenerSockets()...)
-}
-
-// listenerSockets returns the listeners in the order of their indexes.
-func (c *Controller) listenerSockets() []syscall.Conn {
-	l := []syscall.Conn{c.listener.(syscall.Conn)}
-	if c.rpcListener != nil {
-		l = append(l, c.rpcListener.(syscall.Conn))
+	kinds, listeners := h.controller.listenersToOffer()
+	body, err := json.Marshal(socketsBody{handoverVersion, kinds})
+	if err != nil {
+		return err
 	}
-	return l
+	return h.link.Send(daemon.Sockets, body, listeners...)
 }
 
 // pause makes all further calls wait, sends the state to the successor and unlocks the state
@@ -142,7 +137,6 @@
 	c := h.controller
 	c.log.Info().Int("open", c.Gateway.OpenRequests()).Msg("handover: paused")
 	state := handoverState{
-		Version: handoverVersion,
 		RPCKeys: c.rpcKeysForSuccessor(),
 		Webhook: c.Webhook.Pause(func(k replayguard.Key, a replayguard.Answer) {
 			h.endedCalls <- endedCall{Key: k, Answer: a}
--- a/internal/controller/handover_successor.go
+++ b/internal/controller/handover_successor.go
@@ -20,7 +20,7 @@
 type IncomingHandover struct {
 	link            *daemon.Link
 	protocol        daemon.SuccessorProtocol
-	listenerFiles   []*os.File // the predecessor's listeners, by index
+	unclaimed       map[listenerKind]*os.File // the predecessor's listeners that are not in use here
 	state           handoverState
 	predecessorGone bool
 }
@@ -51,7 +51,11 @@
 
 // takeOver receives the listeners and the state of the predecessor, and starts the controller.
 func (h *IncomingHandover) takeOver(start func(*IncomingHandover) (*Controller, error)) (*Controller, error) {
-	if err := h.link.Send(daemon.Hello, nil); err != nil {
+	hello, err := json.Marshal(helloBody{handoverVersion})
+	if err != nil {
+		return nil, err
+	}
+	if err := h.link.Send(daemon.Hello, hello); err != nil {
 		return nil, err
 	}
 	var state []byte
@@ -59,14 +63,16 @@
 		p, err := h.receive()
 		switch p.action {
 		case daemon.Prepare:
-			h.listenerFiles = p.files
+			if err := h.keepListeners(p.body, p.files); err != nil {
+				return nil, err
+			}
 			if err := h.link.Send(daemon.TakeoverRequest, nil); err != nil {
 				return nil, err
 			}
 		case daemon.ApplyPacket:
 			state = append(state, p.body...)
 		case daemon.TakeState:
-			if h.state, err = decodeHandoverState(state); err != nil {
+			if err := json.Unmarshal(state, &h.state); err != nil {
 				return nil, err
 			}
 			return start(h)
@@ -98,22 +104,7 @@
 func (h *IncomingHandover) abort() {
 	h.link.Send(daemon.Abort, nil)
 	h.link.Close()
-	for _, f := range h.listenerFiles {
-		f.Close()
-	}
-}
-
-// listener returns the predecessor's listener at an index.
-func (h *IncomingHandover) listener(index int) (net.Listener, error) {
-	if index >= len(h.listenerFiles) {
-		return nil, fmt.Errorf("take over: the predecessor sent %d listeners, none with index %d", len(h.listenerFiles), index)
-	}
-	ln, err := net.FileListener(h.listenerFiles[index])
-	if err != nil {
-		return nil, err
-	}
-	h.listenerFiles[index].Close()
-	return ln, nil
+	h.closeUnclaimed(false)
 }
 
 // awaitGrant reports to the predecessor that the state is taken, and returns nil when this process
--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// hello returns the body of a Hello packet of a version.
+func hello(t *testing.T, version int) []byte {
+	t.Helper()
+	body, err := json.Marshal(helloBody{version})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
 // During fifty successive handovers under load every call is served and runs exactly once.
 func TestHandoversUnderLoadLoseNoCall(t *testing.T) {
 	handovers := 50
@@ -191,7 +201,11 @@
 			// receives none if awaited is 0.
 			sendAndAwait := func(kind daemon.PacketKind, awaited daemon.PacketKind) {
 				t.Helper()
-				l.Send(kind, nil)
+				var body []byte
+				if kind == daemon.Hello {
+					body = hello(t, handoverVersion)
+				}
+				l.Send(kind, body)
 				for k := daemon.PacketKind(0); awaited != 0 && k != awaited; {
 					var files []interface{ Close() error }
 					received, _, fs, err := l.Receive(10 * time.Second)
@@ -284,9 +298,10 @@
 			t.Fatal(err)
 		}
 		m := sign(t, commonSecret, "c", "known", "unsafe-1", `{}`, time.Now().Add(-3*time.Second))
-		state := handoverState{Version: handoverVersion, Webhook: webhook.State{State: replayguard.State{Highest: time.Now().Unix(), Known: []replayguard.EntryState{
+		state := handoverState{Webhook: webhook.State{State: replayguard.State{Highest: time.Now().Unix(), Known: []replayguard.EntryState{
 			{Key: replayguard.Key{Client: "shop", ID: "known"}, LastTimestamp: time.Now().Unix() - 3, Running: true, Digest: bodyDigest("unsafe-1", m)}}}}}
 		text, _ := json.Marshal(state)
+		sockets, _ := json.Marshal(socketsBody{handoverVersion, []listenerKind{listenerOfCalls, listenerOfRPC}})
 		go func() {
 			uc, err := links.AcceptUnix()
 			if err != nil {
@@ -294,7 +309,7 @@
 			}
 			l := daemon.NewLink(uc)
 			l.Receive(10 * time.Second)
-			l.Send(daemon.Sockets, nil, tcp.(syscall.Conn), unix.(syscall.Conn))
+			l.Send(daemon.Sockets, sockets, tcp.(syscall.Conn), unix.(syscall.Conn))
 			l.Receive(10 * time.Second)
 			if l.SendState(text); complete {
 				l.Send(daemon.StateComplete, nil)
@@ -351,7 +366,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	l.Send(daemon.Hello, nil)
+	l.Send(daemon.Hello, hello(t, handoverVersion))
 	_, _, files, _ := l.Receive(10 * time.Second)
 	for _, f := range files {
 		f.Close()
@@ -411,7 +426,7 @@
 			}
 		}
 	}
-	l.Send(daemon.Hello, nil)
+	l.Send(daemon.Hello, hello(t, handoverVersion))
 	await(daemon.Sockets)
 	l.Send(daemon.TakeoverRequest, nil)
 	await(daemon.StateComplete)
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -3,17 +3,16 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"os"
 
 	"kitehub/internal/hookengine"
 	"kitehub/internal/ingress/jsonrpc"
 )
 
-// startRPC starts the RPC server for operators and for clients on the same machine.
-func (c *Controller) startRPC() error {
-	if c.config.RPC == nil {
-		return nil
+// serveRPC starts the RPC server for operators and for clients on the same machine.
+func (c *Controller) serveRPC() {
+	if c.rpcListener == nil {
+		return
 	}
 	rc := *c.config.RPC
 	rc.Gateway = c.Gateway
@@ -24,31 +23,17 @@
 	rc.Deadline = c.webhookConfig.Deadline
 	rc.Idempotency = c.webhookConfig.Idempotency
 	rc.Models = c.webhookConfig.Models
-	if p := c.options.Predecessor; p != nil {
+	if c.options.Predecessor != nil {
 		rc.TakeoverTime = c.options.Clock.Now()
 		rc.KeysUnknownUntil = c.rpcKeysUnknownUntil
 	}
 	c.RPC = jsonrpc.New(rc)
 	c.events.rpc.Store(c.RPC)
-	ln, err := c.listenRPC()
-	if err != nil {
-		return fmt.Errorf("rpc.socket: %w", err)
-	}
-	c.rpcListener = ln
 	go func() {
-		if err := c.RPC.Serve(ln); err != nil {
+		if err := c.RPC.Serve(c.rpcListener); err != nil {
 			c.log.Error().Err(err).Msg("rpc listener failed")
 		}
 	}()
-	return nil
-}
-
-// listenRPC opens the RPC socket, or takes over that of the predecessor.
-func (c *Controller) listenRPC() (net.Listener, error) {
-	if p := c.options.Predecessor; p != nil {
-		return p.listener(rpcListenerIndex)
-	}
-	return jsonrpc.Listen(c.config.RPCSocket, c.config.RPCSocketMode)
 }
 
 // Status is the result of the operators' method status.
--- a/internal/controller/start.go
+++ b/internal/controller/start.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -19,9 +18,24 @@
 	"kitehub/scheduler"
 )
 
-// start runs the steps in order and returns the first error. The comments name what Kill calls to
-// undo each step. Kill also works after a part of the steps: it skips fields that are not set.
+// start prepares the controller, waits until a predecessor has stopped serving, and serves. What can
+// fail is a part of prepare: a predecessor that has granted service does not resume.
 func (c *Controller) start() error {
+	if err := c.prepare(); err != nil {
+		return err
+	}
+	if p := c.options.Predecessor; p != nil {
+		if err := p.awaitGrant(); err != nil {
+			return err
+		}
+	}
+	c.serve()
+	return nil
+}
+
+// prepare runs the steps in order and returns the first error. The comments name what Kill calls to
+// undo each step. Kill also works after a part of the steps: it skips fields that are not set.
+func (c *Controller) prepare() error {
 	steps := []func() error{
 		c.lockStateDir,       // undone by unlockStateDir
 		c.startBackend,       // Backend.Close
@@ -30,13 +44,10 @@
 		c.startRegistryAgent, // stopAgent
 		c.newWebhook,         // Webhook.Kill
 		c.listen,             // the listener's Close
+		c.listenRPC,          // the listener's Close
+		c.listenSuccessors,   // the listener's Close
 		c.startHooks,         // closeHooks
 		c.runGateway,         // Gateway.Kill and Watcher.Stop
-		c.awaitPredecessor,   // nothing to undo: TakeOver aborts the handover
-		c.startRPC,           // Server.Close of RPC and its listener's Close
-		c.serveCalls,         // Server.Abort
-		c.followPredecessor,  // nothing to undo: it ends with the predecessor's link
-		c.acceptSuccessors,   // the listener's Close
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -46,6 +57,15 @@
 	return nil
 }
 
+// serve serves calls, operators and successors. Kill undoes it by Server.Abort, Server.Close of RPC
+// and the listeners' Close.
+func (c *Controller) serve() {
+	c.serveRPC()
+	c.serveCalls()
+	c.followPredecessor()
+	c.acceptSuccessors()
+}
+
 // stateDir returns the folder of the replay watermark, the stored scripts and the lock.
 func (c *Controller) stateDir() string { return filepath.Dir(c.config.WatermarkFile) }
 
@@ -189,43 +209,6 @@
 	return nil
 }
 
-// listen opens the listener for calls, or takes over that of the predecessor.
-func (c *Controller) listen() (err error) {
-	if p := c.options.Predecessor; p != nil {
-		c.listener, err = p.listener(webhookListenerIndex)
-		return err
-	}
-	if c.config.Network == "unix" {
-		if err := removeStaleSocket(c.config.Listen); err != nil {
-			return err
-		}
-	}
-	if c.listener, err = net.Listen(c.config.Network, c.config.Listen); err != nil {
-		return fmt.Errorf("webhook.listen: %w", err)
-	}
-	return nil
-}
-
-// removeStaleSocket removes the socket file of a process that was killed, so that it does not
-// prevent this start. It returns an error if the socket is in use, or the file is not a socket.
-func removeStaleSocket(name string) error {
-	info, err := os.Lstat(name)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	if info.Mode()&os.ModeSocket == 0 {
-		return fmt.Errorf("webhook.listen: %s exists and is not a socket", name)
-	}
-	if conn, err := net.DialTimeout("unix", name, time.Second); err == nil {
-		conn.Close()
-		return fmt.Errorf("webhook.listen: another process listens on socket %s", name)
-	}
-	return os.Remove(name)
-}
-
 // runGateway starts the gateway's loop and its inputs: discovery and peer messages.
 func (c *Controller) runGateway() error {
 	go c.Gateway.Run()
@@ -243,15 +226,8 @@
 	return nil
 }
 
-// awaitPredecessor waits until the predecessor has stopped serving.
-func (c *Controller) awaitPredecessor() error {
-	if p := c.options.Predecessor; p != nil {
-		return p.awaitGrant()
-	}
-	return nil
-}
-
-func (c *Controller) serveCalls() error {
+// serveCalls accepts connections of clients.
+func (c *Controller) serveCalls() {
 	handler := http1.Handler(c.Webhook)
 	if wrap := c.options.Handler; wrap != nil {
 		handler = wrap(handler)
@@ -263,15 +239,14 @@
 			c.log.Error().Err(err).Msg("webhook listener failed")
 		}
 	}()
-	return nil
 }
 
 // followPredecessor starts to receive the predecessor's connections and answers, until the
 // predecessor is done.
-func (c *Controller) followPredecessor() error {
+func (c *Controller) followPredecessor() {
 	if p := c.options.Predecessor; p != nil {
+		p.closeUnclaimed(true)
 		c.predecessorDone = make(chan struct{})
 		go p.follow(c)
 	}
-	return nil
 }
--- a/internal/daemon/doc.go
+++ b/internal/daemon/doc.go
@@ -9,13 +9,13 @@
 // The predecessor, which serves, and its successor exchange packets over a Unix socket:
 //
 //	successor               predecessor
-//	Hello             ->
-//	                  <-    Sockets           the listeners
+//	Hello             ->                      the version
+//	                  <-    Sockets           the version and the listeners
 //	TakeoverRequest   ->                      the successor has checked that it can serve
 //	                                          the predecessor pauses: new calls wait
 //	                  <-    StatePart ...
 //	                  <-    StateComplete     the predecessor has unlocked its state folder
-//	StateTaken        ->                      the successor has locked the folder
+//	StateTaken        ->                      the successor has locked the folder and opened all sockets
 //	                  <-    Grant             from here on the successor serves
 //	                  <-    Conn, Answer ...
 //	                  <-    Done
--- a/internal/daemon/pid.go
+++ b/internal/daemon/pid.go
@@ -24,6 +24,16 @@
 	return ReplacePID(name, pid)
 }
 
+// CheckPIDFile checks that ReplacePID can write a file. A process that takes over calls it before
+// its predecessor has given up anything.
+func CheckPIDFile(name string, pid int) error {
+	temporary := hiddenPIDFile(name, pid, "new")
+	if err := os.WriteFile(temporary, nil, 0o644); err != nil {
+		return err
+	}
+	return os.Remove(temporary)
+}
+
 // ReplacePID atomically writes the id of a process to a file, regardless of the process that the
 // file names. A successor calls it after it has taken over.
 func ReplacePID(name string, pid int) error {
--- a/internal/daemon/protocol.go
+++ b/internal/daemon/protocol.go
@@ -8,12 +8,12 @@
 // Packet kinds in the order in which they are sent. P: sent by the predecessor, S: by the
 // successor.
 const (
-	Hello           PacketKind = 'H' // S: asks for a handover
-	Sockets         PacketKind = 'L' // P: the listeners, as file descriptors
+	Hello           PacketKind = 'H' // S: asks for a handover, with its version
+	Sockets         PacketKind = 'L' // P: the version and the listeners, as file descriptors
 	TakeoverRequest PacketKind = 'R' // S: can serve, and asks for the state
 	StatePart       PacketKind = 'S' // P: a part of the state
 	StateComplete   PacketKind = 'E' // P: all parts are sent, and the state folder is unlocked
-	StateTaken      PacketKind = 'T' // S: has decoded the state and locked the state folder
+	StateTaken      PacketKind = 'T' // S: has locked the state folder and opened all sockets
 	Grant           PacketKind = 'G' // P: admits no further call; from here on the successor serves
 	Conn            PacketKind = 'C' // P: a connection, with the bytes that were read and not used
 	Answer          PacketKind = 'A' // P: how a call that was in flight ended
