Take-over: calls are served again although a successor that hangs keeps the folder's lock

Cause: resume waited for the lock without a limit before it let calls go on.

Change: calls wait 0.2 s for the lock, as a successor that failed gives it up soon, and are then served without hooks, whose store needs it. When the lock is free the watermark is written again, which the successor may have left half-way, and the hooks start. It is safe because a successor that finds Abort on its link never serves; where Abort could not be put on the link, the lock is waited for as before.

Seen to fail on the code from before: TestPredecessorResumesWhileSuccessorHoldsTheLock (no answer in 20 s).

--- a/internal/controller/handover_failures_test.go
+++ b/internal/controller/handover_failures_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kitehub/internal/daemon"
+	"kitehub/internal/store"
 )
 
 // withoutRPC removes the section rpc from the changes that withRPC returned.
@@ -136,6 +137,40 @@
 	wantAnswer(t, post(t, next, "after", "safe-1", `{}`, time.Now()), "200 served")
 }
 
+// A successor that hung while it held the lock of the state folder kept the predecessor from
+// resuming, so that calls waited for as long as it hung.
+func TestPredecessorResumesWhileSuccessorHoldsTheLock(t *testing.T) {
+	h, changes, path := newHandoverHarness(t, ms)
+	c := h.start(h.configure("c", changes...))
+	_, l := h.pauseByLink(path)
+	unlock, err := store.Lock(filepath.Join(h.dir, "c"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stale := time.Unix(1, 0) // as if the successor had hung while it wrote the watermark
+	if err := c.webhookConfig.Watermark.Save(stale); err != nil {
+		t.Fatal(err)
+	}
+	l.Close() // for the predecessor as silent as one that hangs
+	wantAnswer(t, post(t, c, "m", "safe-1", `{}`, time.Now()), "200 served")
+	if err := unlock(); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(ms) {
+		if mark, err := c.webhookConfig.Watermark.Load(); err == nil && mark.After(stale) {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the watermark is not written again")
+		}
+	}
+	next := h.replaceBy(path, c, changes)
+	wantAnswer(t, post(t, next, "after", "safe-1", `{}`, time.Now()), "200 served")
+	if got := dial(t, h).request(`{"jsonrpc":"2.0","id":1,"method":"hooks"}`); !strings.Contains(got, "result") {
+		t.Error(got)
+	}
+}
+
 // A successor that hung until its predecessor had resumed took the closed link for the end of that
 // process, and served as well if its state folder was another one.
 func TestSuccessorThatHungDoesNotServe(t *testing.T) {
--- a/internal/controller/handover_predecessor.go
+++ b/internal/controller/handover_predecessor.go
@@ -13,9 +13,12 @@
 	"kitehub/internal/store"
 )
 
-// relockInterval is the interval between attempts to lock the state folder again after a handover
-// was aborted.
-const relockInterval = 10 * time.Millisecond
+// After a handover was aborted, attempts to lock the state folder again are relockInterval apart.
+// For relockPatience calls wait for the lock, so that they meet the hooks.
+const (
+	relockInterval = 10 * time.Millisecond
+	relockPatience = 200 * time.Millisecond
+)
 
 // acceptSuccessors accepts successors, and serves one handover at a time.
 func (c *Controller) acceptSuccessors() {
@@ -101,10 +104,17 @@
 // abort continues as if there had been no handover.
 func (h *outgoingHandover) abort(cause error) {
 	h.controller.log.Warn().Err(cause).Msg("handover aborted")
-	h.link.Send(daemon.Abort, nil)
-	if h.paused {
-		h.controller.resume()
+	err := h.link.Send(daemon.Abort, nil)
+	if !h.paused {
+		return
+	}
+	// A successor that finds the link closed and no Abort on it serves alone. While it may do that,
+	// it keeps the lock of the state folder.
+	patience := relockPatience
+	if err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, syscall.ECONNRESET) {
+		patience = 0
 	}
+	h.controller.resume(patience)
 }
 
 // offerSockets sends the listeners to a successor that sent a Hello packet. If this process has
@@ -170,32 +180,61 @@
 	return h.link.Send(daemon.StateComplete, nil)
 }
 
-// resume undoes pause.
-func (c *Controller) resume() {
-	c.relockStateDir()
-	c.Gateway.SetBudgetHandedOver(false)
-	if c.hookEngine.Load() != nil && !c.stopping.Load() {
-		c.hookEngine.Store(nil)
-		if err := c.startHooks(); err != nil {
-			c.log.Error().Err(err).Msg("hooks not restarted")
-		}
+// resume undoes pause. If the successor hangs and keeps the lock of the state folder, calls wait for
+// it no longer than patience (0: without a limit). The hooks' store, and a watermark that the
+// successor may have left unfinished, wait for the lock in any case.
+func (c *Controller) resume(patience time.Duration) {
+	locked := c.relockStateDir(patience)
+	if locked {
+		c.restartHooks()
 	}
+	c.Gateway.SetBudgetHandedOver(false)
 	if c.RPC != nil {
 		c.RPC.Resume()
 	}
 	c.Webhook.Resume()
+	if locked || c.stopping.Load() {
+		return
+	}
+	c.log.Error().Msg("successor holds the state folder, serving without hooks until it ends")
+	if !c.relockStateDir(0) {
+		return
+	}
+	if err := c.Webhook.RewriteWatermark(); err != nil {
+		c.log.Error().Err(err).Msg("replay watermark not written")
+	}
+	c.restartHooks()
 }
 
-// relockStateDir locks the state folder again. It retries, as the successor may still hold the lock
-// briefly. It gives up when the controller stops, which then does not need the lock any more.
-func (c *Controller) relockStateDir() {
-	for !c.holdsStateLock() && !c.stopping.Load() {
+// restartHooks starts the hooks again that pause has closed.
+func (c *Controller) restartHooks() {
+	if c.hookEngine.Load() == nil || c.stopping.Load() {
+		return
+	}
+	if err := c.startHooks(); err != nil {
+		c.log.Error().Err(err).Msg("hooks not restarted")
+	}
+}
+
+// relockStateDir locks the state folder again, and returns false if it could not. It retries for
+// the given time (0: without a limit), as the successor may still hold the lock. It gives up when
+// the controller stops, which then does not need the lock any more.
+func (c *Controller) relockStateDir(patience time.Duration) bool {
+	giveUp := time.Now().Add(patience)
+	for !c.holdsStateLock() {
+		if c.stopping.Load() {
+			return false
+		}
 		if unlock, err := store.Lock(c.stateDir()); err == nil {
 			c.setUnlock(unlock)
-			return
+			return true
+		}
+		if patience > 0 && time.Now().After(giveUp) {
+			return false
 		}
 		time.Sleep(relockInterval)
 	}
+	return true
 }
 
 // transferService lets the successor serve, sends it the connections, finishes what is in flight
@@ -207,7 +246,7 @@
 	// Stop and Kill do nothing from here on.
 	if c.stopping.Swap(true) {
 		h.link.Send(daemon.Abort, nil)
-		c.resume()
+		c.resume(relockPatience)
 		return
 	}
 	c.log.Info().Int("open", c.Gateway.OpenRequests()).Msg("handover: successor takes over")
--- a/internal/ingress/webhook/watermark.go
+++ b/internal/ingress/webhook/watermark.go
@@ -28,9 +28,17 @@
 }
 
 // writeWatermark saves the watermark if it is due.
-func (h *Handler) writeWatermark() error {
+func (h *Handler) writeWatermark() error { return h.saveWatermark(false) }
+
+// RewriteWatermark saves the watermark although it may not be due. It repairs the file after a
+// process that should not have written it may have done so.
+func (h *Handler) RewriteWatermark() error { return h.saveWatermark(true) }
+
+// saveWatermark saves the watermark if it is due, or in any case if always is set.
+func (h *Handler) saveWatermark(always bool) error {
 	h.mu.Lock()
 	watermark, due := h.guard.WatermarkDue(h.cfg.Clock.Wall())
+	due = due || always
 	if h.handedOver || h.pauseEnded != nil { // the file belongs to the successor
 		due = false
 	}
