--- a/internal/controller/handover_config_test.go
+++ b/internal/controller/handover_config_test.go
@@ -140,7 +140,7 @@
 	h, changes, path := newHandoverHarness(t, ms)
 	short := append([]string{"past_ms: 60000", "past_ms: 3000"}, changes...)
 	predecessor := h.start(h.configure("c", short...))
-	message := sign(t, commonSecret, "c", "id", "unsafe-1", `{"x":1}`, time.Now().Add(-2*time.Second))
+	message := sign(t, commonSecret, "c", "id", "unsafe-1", `{"x":1}`, time.Now())
 	wantAnswer(t, exchange(t, predecessor.Addr(), message), "200 served")
 	for i := 0; exchange(t, predecessor.Addr(), message).String() != "401 forged"; i++ {
 		if i > 10000 {
