Take-over: a socket path that is spelt in another way is the same socket

Cause: listeners of the predecessor were matched by the text of their path; daemon.handover spelt in another way would have been bound anew, and an abort would have removed the running process's socket. Change: paths that name the same file match. The bodies of the first packets are decoded by one generic function with their version. Measured: go test -race ./internal/controller passes, with a take-over that spells all paths anew.

--- a/internal/controller/golden_test.go
+++ b/internal/controller/golden_test.go
@@ -45,8 +45,7 @@
 // Sockets had no body, the state identified clients by index.
 func TestOtherVersionsOfTheHandoverAreRefused(t *testing.T) {
 	for _, c := range []struct{ body, want string }{{"", "version 1"}, {`{"Version":3}`, "version 3"}, {`{}`, "version 1"}} {
-		var hello helloBody
-		if err := decodeVersioned([]byte(c.body), &hello.Version, &hello); err == nil || !strings.Contains(err.Error(), c.want) {
+		if _, err := decodeFirst[helloBody]([]byte(c.body)); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%q: error %v, want one that names %s", c.body, err, c.want)
 		}
 	}
--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -32,20 +32,28 @@
 	Listeners []listenerKind `json:"Listeners"`
 }
 
-// decodeVersioned decodes the body of a Hello or Sockets packet of the other process, unless that
+// A firstBody is the body of the first packet of either process.
+type firstBody interface {
+	helloBody | socketsBody
+	version() int
+}
+
+func (b helloBody) version() int   { return b.Version }
+func (b socketsBody) version() int { return b.Version }
+
+// decodeFirst decodes the body of the first packet of the other process. It returns an error if that
 // process uses another version.
-func decodeVersioned(body []byte, version *int, into any) error {
-	*version = 1 // an empty body
-	if len(body) > 0 {
-		if err := json.Unmarshal(body, into); err != nil {
-			return err
+func decodeFirst[B firstBody](text []byte) (body B, err error) {
+	if len(text) > 0 {
+		if err := json.Unmarshal(text, &body); err != nil {
+			return body, err
 		}
 	}
-	if *version != handoverVersion {
-		return fmt.Errorf("the other process uses version %d of the handover, and this one version %d: "+
-			"stop the running process and start the new one", *version, handoverVersion)
+	if version := max(1, body.version()); version != handoverVersion {
+		return body, fmt.Errorf("the other process uses version %d of the handover, and this one version %d: "+
+			"stop the running process and start the new one", version, handoverVersion)
 	}
-	return nil
+	return body, nil
 }
 
 // handoverState is the state that the predecessor sends before the successor serves. The successor
--- a/internal/controller/handover_failures_test.go
+++ b/internal/controller/handover_failures_test.go
@@ -61,6 +61,9 @@
 	}
 	c = h.replaceBy(path, c, changes)
 	expectServed("kept", map[string]bool{socket: true, moved: false})
+	spelt := withText(changes, h.dir, filepath.Dir(h.dir)+"/./"+filepath.Base(h.dir))
+	c = h.replaceBy(path, c, spelt)
+	expectServed("respelt", map[string]bool{socket: true, moved: false})
 	c = h.replaceBy(path, c, elsewhere)
 	expectServed("moved", map[string]bool{socket: false, moved: true})
 	c = h.replaceBy(path, c, without)
--- a/internal/controller/handover_predecessor.go
+++ b/internal/controller/handover_predecessor.go
@@ -121,8 +121,7 @@
 // itself taken over from a predecessor, it first waits until that one is done: a packet of the
 // predecessor must not arrive after this process has handed over.
 func (h *outgoingHandover) offerSockets(hello []byte) error {
-	var successor helloBody
-	if err := decodeVersioned(hello, &successor.Version, &successor); err != nil {
+	if _, err := decodeFirst[helloBody](hello); err != nil {
 		return err
 	}
 	if h.controller.predecessorDone != nil {
--- a/internal/controller/listeners.go
+++ b/internal/controller/listeners.go
@@ -128,8 +128,7 @@
 // keepListeners stores the listeners that the predecessor sent.
 func (h *IncomingHandover) keepListeners(body []byte, files []*os.File) error {
 	h.unclaimed = map[listenerKind]*os.File{}
-	var sockets socketsBody
-	err := decodeVersioned(body, &sockets.Version, &sockets)
+	sockets, err := decodeFirst[socketsBody](body)
 	if err == nil && len(files) != len(sockets.Listeners) {
 		err = fmt.Errorf("the predecessor sent %d listeners, and named %d", len(files), len(sockets.Listeners))
 	}
@@ -146,8 +145,8 @@
 }
 
 // listener returns the predecessor's listener of a kind, or nil if it sent none, or one at another
-// address than addr. If addr is "", any address will do.
-func (h *IncomingHandover) listener(kind listenerKind, addr string) (net.Listener, error) {
+// path. If path is "", any address will do.
+func (h *IncomingHandover) listener(kind listenerKind, path string) (net.Listener, error) {
 	f := h.unclaimed[kind]
 	if f == nil {
 		return nil, nil
@@ -156,7 +155,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("take over: %s listener: %w", kind, err)
 	}
-	if addr != "" && ln.Addr().String() != addr {
+	if path != "" && !sameFile(ln.Addr().String(), path) {
 		return nil, ln.Close()
 	}
 	f.Close()
@@ -164,6 +163,16 @@
 	return ln, nil
 }
 
+// sameFile reports whether two paths name the same file, or are equal.
+func sameFile(a, b string) bool {
+	if a == b {
+		return true
+	}
+	infoA, errA := os.Stat(a)
+	infoB, errB := os.Stat(b)
+	return errA == nil && errB == nil && os.SameFile(infoA, infoB)
+}
+
 // closeUnclaimed closes the listeners of the predecessor that this process does not use. If it
 // serves, it also removes their socket files, which are nobody's any more.
 func (h *IncomingHandover) closeUnclaimed(serves bool) {
