A call that waited in a pause is not admitted once the controller has been stopped

Seen: beside busy processes TestStopInHandover failed once, with 200 where 503 or a closed connection is wanted.

Cause, two races: BeginStop is looked at when a request is read, and a message that waited in the pause of a handover went on from there; and the test took Controller.stopping, which is set before BeginStop, for the moment from which nothing is admitted.

Change: admit looks at BeginStop again after a pause. The test waits until the listener is closed, which Stop does after BeginStop, and wants the same as before.

--- a/internal/controller/handover_test.go
+++ b/internal/controller/handover_test.go
@@ -380,7 +380,12 @@
 	nc.Write(sign(t, commonSecret, "c", "waits", "safe-1", `{}`, time.Now()).bytes())
 	stopped := make(chan error)
 	go func() { stopped <- c.Stop(time.Second) }()
-	for !c.stopping.Load() {
+	for { // until no call is admitted any more, after which Stop closes the listener
+		conn, err := net.Dial("tcp", c.Addr())
+		if err != nil {
+			break
+		}
+		conn.Close()
 		time.Sleep(ms)
 	}
 	l.Send(daemon.StateTaken, nil)
--- a/internal/ingress/webhook/handler.go
+++ b/internal/ingress/webhook/handler.go
@@ -178,10 +178,7 @@
 func (h *Handler) Serve(c *http1.Conn, r *http1.Request) *http1.Response {
 	path := r.Path()
 	if h.stopping.Load() {
-		resp := problemResponse(503, "refused", "stopping: another controller takes calls", nil)
-		resp.Close = true
-		resp.Header.Add("Retry-After", "1")
-		return resp
+		return stoppingResponse()
 	}
 	if !strings.HasPrefix(path, h.cfg.Prefix) {
 		return problemResponse(404, "unknown", "no such path", nil)
--- a/internal/ingress/webhook/message.go
+++ b/internal/ingress/webhook/message.go
@@ -42,9 +42,9 @@
 		function: function,
 		alias:    alias,
 	}
-	admitted, ok := h.admit(m)
-	if !ok {
-		return &http1.Response{HandOver: true}
+	admitted, resp := h.admit(m)
+	if resp != nil {
+		return resp
 	}
 	switch admitted.verdict {
 	case replayguard.New, replayguard.Retry:
@@ -117,9 +117,9 @@
 	call       *inFlightCall      // New and Retry: a new call; Join: the call to wait for
 }
 
-// admit asks the replay guard about a message, once no pause is in effect. It returns false if a
-// successor process is to serve the message.
-func (h *Handler) admit(m message) (a admission, ok bool) {
+// admit asks the replay guard about a message, once no pause is in effect. It returns a response
+// instead if a successor process is to serve the message, or if the Handler has been stopped.
+func (h *Handler) admit(m message) (a admission, resp *http1.Response) {
 	signed := replayguard.Message{
 		Key:           m.key,
 		Timestamp:     m.timestamp,
@@ -134,8 +134,11 @@
 		<-pauseEnded
 		h.mu.Lock()
 	}
-	if h.handedOver {
-		return a, false
+	switch {
+	case h.handedOver:
+		return a, &http1.Response{HandOver: true}
+	case h.stopping.Load():
+		return a, stoppingResponse()
 	}
 	a.verdict, a.cached, a.retryAfter = h.guard.Admit(h.cfg.Clock.Wall(), signed)
 	switch a.verdict {
@@ -149,5 +152,5 @@
 			a.retryAfter = time.Second
 		}
 	}
-	return a, true
+	return a, nil
 }
--- a/internal/ingress/webhook/response.go
+++ b/internal/ingress/webhook/response.go
@@ -66,6 +66,14 @@
 	return resp
 }
 
+// stoppingResponse returns the response to a call that arrives after BeginStop.
+func stoppingResponse() *http1.Response {
+	resp := problemResponse(503, "refused", "stopping: another controller takes calls", nil)
+	resp.Close = true
+	resp.Header.Add("Retry-After", "1")
+	return resp
+}
+
 const problemType = "application/problem+json"
 
 func contentType(value string) http1.Header {
