A handover waits for a watermark that is being saved

Cause: saveWatermark decided under the handler's lock and wrote outside it, so that the pause could begin in between and hand over a file that the old process was still writing.

Change: saves hold a mutex of their own, and Pause takes it first. It works because a save that comes later sees the pause and leaves the file alone.

Seen to fail without the change: TestPauseWaitsForAWatermarkThatIsBeingSaved.

--- a/internal/ingress/webhook/handler.go
+++ b/internal/ingress/webhook/handler.go
@@ -89,6 +89,10 @@
 	stop     chan struct{} // closed by Close and Kill
 	wg       sync.WaitGroup
 
+	// watermarkMutex is held while the watermark is saved, so that Pause waits for that. It is
+	// locked before mu.
+	watermarkMutex sync.Mutex
+
 	mu         sync.Mutex
 	guard      *replayguard.Guard
 	keyOwners  KeyOwners // of all keys since the first process that handed over
--- a/internal/ingress/webhook/handover.go
+++ b/internal/ingress/webhook/handover.go
@@ -15,9 +15,11 @@
 }
 
 // Pause makes all further messages wait, and returns the state of those accepted before. From then
-// on onCallEnd is called when a call in flight ends; it must not block. Resume or HandOver ends the
-// pause.
+// on onCallEnd is called when a call in flight ends; it must not block, and the file of the watermark
+// is the successor's. Resume or HandOver ends the pause.
 func (h *Handler) Pause(onCallEnd func(replayguard.Key, replayguard.Answer)) State {
+	h.watermarkMutex.Lock() // waits for a watermark that is being saved
+	defer h.watermarkMutex.Unlock()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.onCallEnd = onCallEnd
--- a/internal/ingress/webhook/pause_test.go
+++ b/internal/ingress/webhook/pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,20 +14,27 @@
 	"kitehub/internal/replayguard"
 )
 
-// A message that waited in the pause of a handover was admitted although the controller had been
-// stopped meanwhile.
-func TestMessageThatWaitedIsNotAdmittedAfterStop(t *testing.T) {
+// newPauseTest returns a Handler with a watermark store, whose clock stands still.
+func newPauseTest(t *testing.T, store WatermarkStore) *Handler {
+	t.Helper()
 	h, err := New(Config{
 		Clock:         clock.NewManual(time.Unix(1_800_000_000, 0)),
-		Replay:        replayguard.Settings{MaxAge: time.Minute, MaxClockSkew: time.Second, WatermarkStep: time.Second, MaxEntries: 9, MaxAnswerBytes: 99},
-		Watermark:     WatermarkFile(filepath.Join(t.TempDir(), "mark")),
+		Replay:        replayguard.Settings{MaxAge: time.Minute, MaxClockSkew: time.Second, WatermarkStep: time.Hour, MaxEntries: 9, MaxAnswerBytes: 99},
+		Watermark:     store,
 		HarmlessRetry: func(int) bool { return true },
 		Log:           zerolog.Nop(),
 	}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer h.Kill()
+	t.Cleanup(h.Kill)
+	return h
+}
+
+// A message that waited in the pause of a handover was admitted although the controller had been
+// stopped meanwhile.
+func TestMessageThatWaitedIsNotAdmittedAfterStop(t *testing.T) {
+	h := newPauseTest(t, WatermarkFile(filepath.Join(t.TempDir(), "mark")))
 	h.Pause(nil)
 	h.BeginStop()
 	admitted := make(chan *http1.Response)
@@ -47,3 +55,44 @@
 		t.Errorf("response %+v, want status 503 and the end of the connection", resp)
 	}
 }
+
+// A slowStore is a WatermarkStore whose Save calls onSave.
+type slowStore struct{ onSave func() }
+
+func (slowStore) Load() (time.Time, error) { return time.Time{}, nil }
+
+func (s slowStore) Save(time.Time) error {
+	s.onSave()
+	return nil
+}
+
+// A watermark that was being saved when a handover began was saved beside the successor, whose own
+// save then failed, or was replaced by the older watermark.
+func TestPauseWaitsForAWatermarkThatIsBeingSaved(t *testing.T) {
+	var saving, saved atomic.Bool
+	var h *Handler
+	paused := make(chan bool, 1)
+	h = newPauseTest(t, slowStore{func() {
+		if !saving.Load() { // the first watermark, saved by New
+			return
+		}
+		go func() {
+			h.Pause(nil)
+			paused <- saved.Load()
+		}()
+		select {
+		case saved := <-paused:
+			paused <- saved
+		case <-time.After(50 * time.Millisecond): // a handover that waits takes this time
+		}
+		saved.Store(true)
+	}})
+	saving.Store(true)
+	if err := h.RewriteWatermark(); err != nil {
+		t.Fatal(err)
+	}
+	if !<-paused {
+		t.Error("the pause began while a watermark was being saved")
+	}
+	h.Resume()
+}
--- a/internal/ingress/webhook/watermark.go
+++ b/internal/ingress/webhook/watermark.go
@@ -36,6 +36,8 @@
 
 // saveWatermark saves the watermark if it is due, or in any case if always is set.
 func (h *Handler) saveWatermark(always bool) error {
+	h.watermarkMutex.Lock()
+	defer h.watermarkMutex.Unlock()
 	h.mu.Lock()
 	watermark, due := h.guard.WatermarkDue(h.cfg.Clock.Wall())
 	due = due || always
