Relay: log further attempts, what was not served, and why client connections end

Change: each attempt carries its connection, the delay of its first byte and whether its last byte was written; lines for retries of keyed and unsafe requests, for those not served, for connections that end with requests open (with the outbox's cause), and for the retry rules at the start; counters.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -31,10 +31,18 @@
 	MayStart func() bool
 }
 
+// A Transmission describes what an attempt has sent to its worker. The zero value means nothing.
+type Transmission struct {
+	Conn     uint64        // number of the connection, unique in the process; 0: no byte was sent
+	Delay    time.Duration // from the start of the attempt to its first byte
+	Complete bool          // the kernel has accepted the last byte
+}
+
 // A Result describes how an attempt ended.
 type Result struct {
 	Outcome scheduler.Outcome
 	Took    time.Duration
+	Sent    Transmission       // zero if the protocol does not report it
 	Note    scheduler.LoadNote // what the worker reports about loading the function
 
 	// SameFunction is how many calls of the same function the worker reports as in flight.
--- a/internal/backend/frame/attempt.go
+++ b/internal/backend/frame/attempt.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"kitehub/internal/backend"
 	"kitehub/scheduler"
 )
 
@@ -16,7 +17,7 @@
 	exchange    exchange
 	encodeFrame func() []byte // called just before sending, as the frame holds the time left
 	shouldStart func() bool   // called just before the first byte is sent
-	done        func(scheduler.Outcome, *response)
+	done        func(scheduler.Outcome, *response, backend.Transmission)
 	timeout     time.Duration // of the whole attempt
 	startedAt   time.Duration
 
@@ -150,5 +151,17 @@
 	if c != nil && !a.exchange.isLoadOrder {
 		c.worker.traffic.callEnded(o, a.backend.cfg.Clock.Now()-a.exchange.sentAt)
 	}
-	a.done(o, resp)
+	a.done(o, resp, a.transmission(c))
+}
+
+// transmission describes what was sent on a connection, which is nil if nothing was.
+func (a *attempt) transmission(c *conn) backend.Transmission {
+	if c == nil {
+		return backend.Transmission{}
+	}
+	return backend.Transmission{
+		Conn:     c.number,
+		Delay:    a.exchange.sentAt - a.startedAt,
+		Complete: c.out.Written(a.exchange.frameEnd),
+	}
 }
--- a/internal/backend/frame/backend.go
+++ b/internal/backend/frame/backend.go
@@ -60,7 +60,9 @@
 	maxIdle time.Duration // a connection idle for longer is not reused
 	nextID  atomic.Uint64 // last ID used for a load order or ping
 	conns   atomic.Int64  // connections open or being opened
-	done    chan struct{} // closed by Close
+	// lastConn is the number of the connection opened last.
+	lastConn atomic.Uint64
+	done     chan struct{} // closed by Close
 
 	mu           sync.RWMutex
 	workers      map[scheduler.WorkerID]*worker
--- a/internal/backend/frame/conn.go
+++ b/internal/backend/frame/conn.go
@@ -26,6 +26,7 @@
 // connection while a response to its earlier use may still arrive.
 type conn struct {
 	net.Conn
+	number uint64 // for logs: unique in the process
 	worker *worker
 	out    *outbox.Outbox
 
@@ -44,6 +45,7 @@
 	now := b.cfg.Clock.Now()
 	return &conn{
 		Conn:         socket,
+		number:       b.lastConn.Add(1),
 		worker:       w,
 		out:          outbox.New(socket, b.cfg.MaxBody, b.cfg.PingAfter),
 		inFlight:     map[uint64]*exchange{},
@@ -133,7 +135,8 @@
 	}
 	if errors.Is(err, errFrame) {
 		b.Counts.Malformed.Add(1)
-		b.cfg.Log.Debug().Str("worker", c.worker.name).Err(err).Msg("malformed frame, connection closed")
+		b.cfg.Log.Debug().Str("worker", c.worker.name).Uint64("conn", c.number).Err(err).
+			Msg("malformed frame, connection closed")
 	}
 	c.finish()
 }
--- a/internal/backend/frame/send.go
+++ b/internal/backend/frame/send.go
@@ -12,8 +12,10 @@
 // goroutine may be the one that reads a connection.
 func (b *Backend) Send(request backend.Attempt, done func(backend.Result)) backend.RunningAttempt {
 	a := &attempt{backend: b, timeout: request.Timeout, startedAt: b.cfg.Clock.Now()}
-	a.done = func(o scheduler.Outcome, resp *response) {
-		done(b.result(o, resp, b.cfg.Clock.Now()-a.startedAt))
+	a.done = func(o scheduler.Outcome, resp *response, sent backend.Transmission) {
+		result := b.result(o, resp, b.cfg.Clock.Now()-a.startedAt)
+		result.Sent = sent
+		done(result)
 	}
 	id, err := strconv.ParseUint(request.CallID, 16, 64)
 	if err != nil { // cannot happen: ingress rejects such an ID
@@ -69,7 +71,7 @@
 		startedAt:   b.cfg.Clock.Now(),
 		shouldStart: func() bool { return true },
 	}
-	a.done = func(outcome scheduler.Outcome, resp *response) {
+	a.done = func(outcome scheduler.Outcome, resp *response, _ backend.Transmission) {
 		copies := 0
 		if resp != nil {
 			copies = parseFields(resp.fields, nil).copies
--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -205,3 +205,38 @@
 		}
 	}
 }
+
+// Without the line per request, further attempts of a request that must not run twice are still
+// logged, with how the earlier ones ended, and so is its end if it was not served.
+func TestRetriesAreLoggedWithoutRequestLog(t *testing.T) {
+	g, transport, clk, log := newManualGateway(t)
+	g.cfg.OmitRequestLog = true
+	var got []Answer
+	submit(t, g, 1, &got)
+	g.step(clk.Now())
+	end := func(i int, result backend.Result) {
+		for range 100 { // a retry may wait for a token
+			if transport.callback(i) != nil {
+				break
+			}
+			clk.Advance(10 * ms)
+			g.step(clk.Now())
+		}
+		transport.callback(i)(result)
+		clk.Advance(10 * ms)
+		g.step(clk.Now())
+	}
+	end(0, backend.Result{Outcome: scheduler.AtCapacity, Took: ms})
+	end(1, backend.Result{Outcome: scheduler.Reset, Took: 5 * ms, Sent: backend.Transmission{Conn: 7, Delay: 2 * ms, Complete: true}})
+	for _, want := range []string{
+		`"attempt":1,`, `nothing sent, full after 1ms"],"message":"retry"`,
+		`"answer":"failed"`, `#7 +2ms complete, reset after 5ms"],"message":"not served"`,
+	} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("the log does not contain %s:\n%s", want, log)
+		}
+	}
+	if n, m := g.Counts.RetriesNeverRan.Load(), g.Counts.RetriesMayHaveRun.Load(); n != 1 || m != 0 {
+		t.Errorf("%d retries after attempts that never ran, %d after others, want 1 and 0", n, m)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,8 +40,9 @@
 	g.enqueue(scheduler.AttemptEnded{
 		Request: a.Request, Attempt: len(r.attempts), Worker: a.Worker, Outcome: scheduler.NotStarted,
 	})
+	name, group := g.workerLabels(a.Worker)
 	r.attempts = append(r.attempts, attempt{
-		worker: g.workerName(a.Worker), sentAt: now, outcome: scheduler.NotStarted,
+		worker: name, group: group, sentAt: now, outcome: scheduler.NotStarted,
 	})
 	r.outstanding++
 }
@@ -50,7 +51,11 @@
 func (g *Gateway) startAttempt(r *request, a scheduler.Send, now time.Duration) {
 	number := len(r.attempts)
 	call := r.call
-	started := attempt{worker: g.workerName(a.Worker), sentAt: now}
+	started := attempt{sentAt: now}
+	started.worker, started.group = g.workerLabels(a.Worker)
+	if number > 0 {
+		g.recordRetry(r, started)
+	}
 	if g.answered.capacity > 0 || call.Progress != nil {
 		started.snapshot = g.dispatcher.Snapshot(call.Function.ID, a.Worker)
 	}
@@ -74,6 +79,22 @@
 	r.attempts = append(r.attempts, started)
 }
 
+// recordRetry counts a further attempt of a request. It logs the attempt if running the request
+// twice would do harm.
+func (g *Gateway) recordRetry(r *request, next attempt) {
+	if r.mayHaveRun() {
+		g.Counts.RetriesMayHaveRun.Add(1)
+	} else {
+		g.Counts.RetriesNeverRan.Add(1)
+	}
+	if g.class(r.call).Idempotency == scheduler.Idempotent {
+		return
+	}
+	g.cfg.Log.Info().Str("id", r.call.ID).Str("class", g.class(r.call).Name).Int("attempt", len(r.attempts)).
+		Str("worker", next.worker).Str("group", next.group).Dur("after", next.sentAt-r.submittedAt).
+		Strs("earlier", r.describeAttempts()).Msg("retry")
+}
+
 // attemptEnded receives an attempt's result, on a backend goroutine or, after a cancel, on the
 // loop's.
 //
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,9 @@
 	Served, Rejected, Failed, ClientClosed, Superseded atomic.Int64
 	// OverCapacity counts calls that Submit did not admit.
 	OverCapacity atomic.Int64
+	// RetriesNeverRan counts attempts after the first of a request that is known not to have run,
+	// RetriesMayHaveRun those of a request that may have run.
+	RetriesNeverRan, RetriesMayHaveRun atomic.Int64
 	// Steps counts steps of the Dispatcher, Panics those that panicked.
 	Steps, Panics atomic.Int64
 	// DigestMismatches counts results of workers that ran another digest than the attempt named.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -30,7 +30,9 @@
 // An attempt is one sending of a request to a worker. Its fields belong to the loop.
 type attempt struct {
 	worker   string
+	group    string                 // of the worker, as listed when the attempt was sent
 	running  backend.RunningAttempt // nil once the attempt has ended
+	sent     backend.Transmission   // set once the attempt has ended
 	sentAt   time.Duration
 	outcome  scheduler.Outcome // 0 until the attempt has ended
 	took     time.Duration
@@ -54,11 +56,7 @@
 // mayHaveRun reports whether an attempt of the request may have run, or may still run.
 func (r *request) mayHaveRun() bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool {
-		switch a.outcome {
-		case scheduler.AtCapacity, scheduler.ConnectFailed, scheduler.NotStarted, scheduler.NotLoaded:
-			return false
-		}
-		return true
+		return a.outcome.MayHaveRun() // also while it has no outcome
 	})
 }
 
@@ -86,6 +84,7 @@
 	a := &r.attempts[e.Attempt]
 	a.outcome = e.Outcome
 	a.took = e.Took
+	a.sent = res.Sent
 	a.status = res.Status
 	a.loadNote = e.Note
 	a.running = nil
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 	"time"
 
 	"kitehub/scheduler"
@@ -25,10 +26,49 @@
 // displayPrecision is the precision to which displayed durations are rounded.
 const displayPrecision = 100 * time.Microsecond
 
+// describeAttempts returns a text for each attempt: the worker and its group, when it was sent, on
+// which connection, how long after that its first byte followed, whether its last byte did, how it
+// ended, and how long it took.
+func (r *request) describeAttempts() []string {
+	texts := make([]string, 0, len(r.attempts))
+	for i := range r.attempts {
+		texts = append(texts, r.attempts[i].describe(r.submittedAt))
+	}
+	return texts
+}
+
+func (a *attempt) describe(submittedAt time.Duration) string {
+	wire := "nothing sent"
+	if a.sent.Conn > 0 {
+		part := "incomplete"
+		if a.sent.Complete {
+			part = "complete"
+		}
+		wire = fmt.Sprintf("#%d +%v %s", a.sent.Conn, a.sent.Delay.Round(displayPrecision), part)
+	}
+	if a.running != nil {
+		wire = "in flight"
+	}
+	return fmt.Sprintf("%s/%s at %v: %s, %s after %v", a.worker, a.group, (a.sentAt - submittedAt).Round(displayPrecision),
+		wire, outcomeNames[a.outcome], a.took.Round(displayPrecision))
+}
+
+// logUnserved logs a request that was sent, was not served and would do harm if it ran twice. Where
+// requests are not logged one by one, it shows why such a request was answered as it was.
+func (g *Gateway) logUnserved(r *request, a Answer, now time.Duration) {
+	unserved := a.Kind == Rejected || a.Kind == Failed
+	if !unserved || len(r.attempts) == 0 || g.class(r.call).Idempotency == scheduler.Idempotent {
+		return
+	}
+	g.cfg.Log.Info().Str("id", r.call.ID).Str("class", g.class(r.call).Name).Str("answer", a.Kind.String()).
+		Dur("took", now-r.submittedAt).Strs("attempts", r.describeAttempts()).Msg("not served")
+}
+
 // logRequest writes the one log line of a request. It contains names and numbers, never bodies,
 // headers or keys.
 func (g *Gateway) logRequest(id scheduler.RequestID, r *request, a Answer, now time.Duration) {
 	if g.cfg.OmitRequestLog {
+		g.logUnserved(r, a, now)
 		return
 	}
 	e := g.cfg.Log.Info()
--- a/internal/ingress/msgpackrpc/conn.go
+++ b/internal/ingress/msgpackrpc/conn.go
@@ -79,14 +79,25 @@
 
 const readBuffer = 2 << 10 // bytes; most requests fit, and larger bodies bypass the buffer
 
-// serve reads and handles messages until the connection ends.
-func (c *conn) serve() {
-	defer c.end()
+// An endCause says why a connection has ended, for the log.
+type endCause string
+
+const (
+	causeRead      endCause = "client closed, or read failed"
+	causeMalformed endCause = "malformed message"
+	causeHandled   endCause = "closed after a message" // it was invalid, or the connection was stopped
+)
+
+// serve handles messages until the connection ends.
+func (c *conn) serve() { c.end(c.readMessages()) }
+
+// readMessages reads and handles messages until no more are to be read, and returns why.
+func (c *conn) readMessages() endCause {
 	d := decoder{r: bufio.NewReaderSize(c.Conn, readBuffer), maxBody: c.server.cfg.MaxBody}
 	var m message
 	for {
 		if _, err := d.r.Peek(1); err != nil {
-			return
+			return causeRead
 		}
 		c.recordActivity()
 		c.inMessage.Store(true)
@@ -97,15 +108,16 @@
 			if m.hasID {
 				c.answerInvalid(m.id, err.Error())
 			}
+			return causeMalformed
 		}
 		if err != nil {
-			return
+			return causeRead
 		}
 		c.inMessage.Store(false)
 		c.sentMessage.Store(true)
 		if !c.handle(&m) {
 			c.discard(d.r)
-			return
+			return causeHandled
 		}
 	}
 }
@@ -147,12 +159,13 @@
 
 // end cancels all requests in flight before it closes the connection. When the client sees the
 // close, none of its requests is forwarded any more.
-func (c *conn) end() {
+func (c *conn) end(cause endCause) {
 	s := c.server
 	c.mu.Lock()
 	inFlight := c.inFlight
 	c.inFlight = map[uint32]*inFlightRequest{}
 	c.mu.Unlock()
+	c.recordAbandoned(cause, len(inFlight))
 	for _, r := range inFlight {
 		s.endTxn(r.txn)
 		s.cfg.Gateway.Cancel(r.id)
@@ -163,3 +176,18 @@
 	s.signalIfEmpty()
 	s.mu.Unlock()
 }
+
+// recordAbandoned counts the requests that lose their connection before their answer. It logs them
+// unless the client has ended the connection.
+func (c *conn) recordAbandoned(cause endCause, requests int) {
+	if requests == 0 {
+		return
+	}
+	c.server.Counts.Abandoned.Add(int64(requests))
+	failure := c.out.CloseCause()
+	if cause == causeRead && failure == nil {
+		return
+	}
+	c.server.cfg.Log.Warn().Str("cause", string(cause)).AnErr("write", failure).Int("requests", requests).
+		Msg("connection ended with requests open")
+}
--- a/internal/ingress/msgpackrpc/server.go
+++ b/internal/ingress/msgpackrpc/server.go
@@ -44,6 +44,7 @@
 	OverLimit atomic.Int64 // requests rejected because of MaxInFlight
 	Malformed atomic.Int64 // connections closed because of a malformed message
 	Withdrawn atomic.Int64 // requests cancelled by the client
+	Abandoned atomic.Int64 // requests that were open when their connection ended
 }
 
 // A Server serves clients until Close. It is safe for concurrent use. Serve accepts connections on
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -8,6 +8,7 @@
 package outbox
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"os"
@@ -33,6 +34,7 @@
 	writeEnded      *sync.Cond // signals that writeInProgress has become false
 	finished        bool       // no more messages; the write side closes once nothing is pending
 	closed          bool
+	closeCause      error  // why the outbox closed the connection by itself; nil if it did not
 	writtenEnd      uint64 // position up to which the kernel has accepted the stream
 	queuedEnd       uint64 // position up to which the outbox has taken over the stream
 }
@@ -82,7 +84,7 @@
 // send is Send for a caller that holds mu.
 func (o *Outbox) send(message []byte) (end uint64, ok bool) {
 	if !o.closed && o.flushing && len(o.pending)+len(message) > o.maxPending {
-		o.close()
+		o.fail(errPendingLimit)
 	}
 	if o.closed || o.finished {
 		// The stream never reaches this position.
@@ -118,8 +120,8 @@
 		return true
 	})
 	o.writtenEnd += uint64(n)
-	if err != nil || writeErr != nil {
-		o.close()
+	if err := cmp.Or(writeErr, err); err != nil {
+		o.fail(err)
 	}
 	return n
 }
@@ -195,11 +197,30 @@
 	o.writtenEnd += uint64(n)
 	progress := n > 0 && os.IsTimeout(err) // the reader is slow, but not stalled
 	if err != nil && !progress {
-		o.close()
+		o.fail(err)
 	}
 	return n, !o.closed
 }
 
+// errPendingLimit means that the reader is too slow for the data that is sent to it.
+var errPendingLimit = errors.New("outbox: too much data is pending")
+
+// fail closes the connection because of an error. The caller holds mu.
+func (o *Outbox) fail(cause error) {
+	if !o.closed {
+		o.closeCause = cause
+		o.close()
+	}
+}
+
+// CloseCause returns the error for which the outbox closed the connection by itself. It returns nil
+// if the connection is open or its owner has closed it.
+func (o *Outbox) CloseCause() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.closeCause
+}
+
 // close closes the connection. The caller holds mu.
 func (o *Outbox) close() {
 	if !o.closed {
--- a/internal/relay/report.go
+++ b/internal/relay/report.go
@@ -60,6 +60,7 @@
 	e.Int64("served", counts.Served.Load()).Int64("refused", counts.Rejected.Load()).
 		Int64("failed", counts.Failed.Load()).Int64("gone", counts.ClientClosed.Load()).
 		Int64("turned", counts.OverCapacity.Load()).Int("open", r.Gateway.OpenRequests()).
+		Int64("retried_never_ran", counts.RetriesNeverRan.Load()).Int64("retried_may_have_run", counts.RetriesMayHaveRun.Load()).
 		Int64("crashes", counts.Panics.Load()).Int64("steps", counts.Steps.Load()).
 		Int64("step_us", counts.StepNanos.Load()/1000).Int64("late_us", counts.MaxStepDelayNanos.Load()/1000)
 }
@@ -70,7 +71,7 @@
 		Int64("evicted", counts.Evicted.Load()).Int64("shut", counts.TimedOut.Load()).
 		Int64("requests", counts.Requests.Load()).Int64("invalid", counts.Invalid.Load()).
 		Int64("over", counts.OverLimit.Load()).Int64("broken", counts.Malformed.Load()).
-		Int64("withdrawn", counts.Withdrawn.Load())
+		Int64("withdrawn", counts.Withdrawn.Load()).Int64("abandoned", counts.Abandoned.Load())
 }
 
 func (r *Relay) addBackendCounts(e *zerolog.Event) {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"kitehub/internal/clock"
+	"kitehub/scheduler"
 )
 
 // configRejected is the log message for a reload whose configuration was rejected.
@@ -38,9 +39,32 @@
 	}
 	log.Info().Str("listen", r.Addr()).Int("workers", len(c.KnownWorkers)).Float64("cores", c.Limits.Cores).
 		Float64("memory_mb", c.Limits.MemoryMB).Int("sockets", c.Limits.Sockets).Msg("serving")
+	logRetryRules(log, &c.Settings)
 	return r.handleSignals(env, signals)
 }
 
+// idempotencyNames are the names of scheduler.Idempotency in the log.
+var idempotencyNames = map[scheduler.Idempotency]string{
+	scheduler.Idempotent:        "idempotent",
+	scheduler.IdempotentWithKey: "idempotent with key",
+	scheduler.NonIdempotent:     "not idempotent",
+}
+
+// logRetryRules logs what the settings allow to be sent again.
+func logRetryRules(log zerolog.Logger, settings *scheduler.Settings) {
+	classes := make([]string, 0, len(settings.Classes))
+	for _, class := range settings.Classes {
+		text := fmt.Sprintf("%s: %s, deadline %v", class.Name, idempotencyNames[class.Idempotency], class.Deadline)
+		if class.Idempotency == scheduler.IdempotentWithKey {
+			text += fmt.Sprintf(", window %v in scope %d", class.DedupWindow, class.DedupScope)
+		}
+		classes = append(classes, text)
+	}
+	limits := &settings.Limits
+	log.Info().Strs("classes", classes).Int("attempts", limits.MaxAttempts).Bool("hedged", limits.HedgedRequests).
+		Dur("dial_timeout", limits.DialTimeout).Msg("retry rules")
+}
+
 // handleSignals returns when the relay has stopped, or at once with an error on a second interrupt.
 func (r *Relay) handleSignals(env func(string) string, signals Signals) error {
 	log := r.options.Log
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -221,7 +221,7 @@
 func (d *Dispatcher) release(request *request, attempt *attempt, outcome Outcome) {
 	worker := attempt.worker
 	attempt.done = true
-	attempt.mayHaveRun = outcome.mayHaveRun()
+	attempt.mayHaveRun = outcome.MayHaveRun()
 	worker.outstanding--
 	d.watchList.update(worker)
 	placed := request.queue.placement(worker)
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -90,8 +90,8 @@
 	return nil
 }
 
-// mayHaveRun reports whether an attempt with this outcome may have run.
-func (o Outcome) mayHaveRun() bool {
+// MayHaveRun reports whether an attempt with this outcome may have run.
+func (o Outcome) MayHaveRun() bool {
 	return o != AtCapacity && o != ConnectFailed && o != NotStarted && o != NotLoaded
 }
 
