--- a/cmd/kitehub/relay.go
+++ b/cmd/kitehub/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"kitehub/internal/clock"
 	"kitehub/internal/relay"
 )
 
@@ -22,5 +23,6 @@
 	w := newLogWriter()
 	defer w.Close()
 	log := zerolog.New(w).Level(zerolog.InfoLevel).With().Timestamp().Logger()
-	return relay.Run(os.Getenv, log, relay.Signals{Reload: reload, Stop: stop})
+	options := relay.Options{Clock: clock.System(), Log: log}
+	return relay.Run(os.Getenv, options, relay.Signals{Reload: reload, Stop: stop})
 }
--- a/internal/harness/fakeplatform/directory.go
+++ b/internal/harness/fakeplatform/directory.go
@@ -17,8 +17,10 @@
 	Serial   uint32
 	Workers  []string // ids of the workers
 	Addrs    []netip.AddrPort
-	Priority uint16 // 1 if the workers drain
-	Started  string // when the workers started; "" for long ago
+	Cells    []string // by worker; "2" for those beyond the end
+	Drains   []bool   // by worker, in addition to Priority
+	Priority uint16   // 1 if the workers drain
+	Started  string   // when the workers started; "" for long ago
 
 	// Faults of the response.
 	NoSOA, NoA, NoTXT, Truncated, NotResponse, DuplicateRecords bool
@@ -56,13 +58,20 @@
 		if i < len(r.Addrs) {
 			addr = r.Addrs[i]
 		}
-		m.Answers = append(m.Answers, dnsmessage.Resource{Header: header(service), Body: &dnsmessage.SRVResource{Priority: r.Priority, Weight: 40, Port: addr.Port(), Target: host}})
+		cell, priority := "2", r.Priority
+		if i < len(r.Cells) {
+			cell = r.Cells[i]
+		}
+		if i < len(r.Drains) && r.Drains[i] {
+			priority = 1
+		}
+		m.Answers = append(m.Answers, dnsmessage.Resource{Header: header(service), Body: &dnsmessage.SRVResource{Priority: priority, Weight: 40, Port: addr.Port(), Target: host}})
 		if !r.NoA || i > 0 {
 			m.Additionals = append(m.Additionals, dnsmessage.Resource{Header: header(host), Body: &dnsmessage.AResource{A: addr.Addr().As4()}})
 		}
 		if !r.NoTXT {
 			m.Additionals = append(m.Additionals, dnsmessage.Resource{Header: header(host),
-				Body: &dnsmessage.TXTResource{TXT: []string{"kind=std", "cell=2", "started=" + started}}})
+				Body: &dnsmessage.TXTResource{TXT: []string{"kind=std", "cell=" + cell, "started=" + started}}})
 		}
 	}
 	return m.Pack()
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -57,7 +57,7 @@
 	{"harness: fakes of the other parties", false, []string{
 		"kitehub/internal/harness/fakeworker", "kitehub/internal/harness/fakeplatform"}},
 	{"harness: scenarios and benchmarks", false, []string{
-		"kitehub/internal/harness/proxybench", "kitehub/internal/harness/scenario", "kitehub/internal/harness/scalebench"}},
+		"kitehub/internal/harness/proxybench", "kitehub/internal/harness/scenario", "kitehub/internal/harness/scalebench", "kitehub/internal/harness/relaysoak"}},
 	{"test helpers", false, []string{
 		"kitehub/internal/goldenfile"}},
 	{"programs and development tools", false, []string{
--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -223,3 +223,25 @@
 		}
 	}
 }
+
+// Guards against a connection that is closed, under whatever is open on it, because its reader was
+// slow once: the deadline of a blocked write must not outlast that write.
+func TestConnectionIsKeptAfterSlowReaderCatchesUp(t *testing.T) {
+	const stallTimeout = 50 * time.Millisecond
+	ours, theirs := connPair(t)
+	o := New(ours, 64<<20, stallTimeout)
+	sent := 0
+	for message := make([]byte, 100<<10); !o.HasPending(); sent += len(message) {
+		o.Send(message)
+	}
+	if _, err := io.CopyN(io.Discard, theirs, int64(sent)); err != nil {
+		t.Fatal(err)
+	}
+	for o.HasPending() {
+		runtime.Gosched()
+	}
+	<-time.After(2 * stallTimeout) // longer than any deadline that a write may have set
+	if _, ok := o.Send([]byte("x")); !ok {
+		t.Fatalf("the connection was closed after its reader had caught up: %v", o.CloseCause())
+	}
+}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"kitehub/internal/clock"
 	"kitehub/internal/harness/fakeplatform"
 )
 
@@ -123,7 +124,7 @@
 	}
 	go func() {
 		env := func(k string) string { return r.env[k] }
-		r.ended <- Run(env, zerolog.New(r.log), Signals{Reload: r.reload, Stop: r.stop})
+		r.ended <- Run(env, Options{Clock: clock.System(), Log: zerolog.New(r.log)}, Signals{Reload: r.reload, Stop: r.stop})
 	}()
 	line := r.log.wait(t, `"serving"`)
 	var m struct{ Listen string }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"kitehub/internal/backend"
 	"kitehub/internal/backend/frame"
 	"kitehub/internal/clock"
 	"kitehub/internal/controller"
@@ -33,12 +34,17 @@
 	directoryService = "_app._tcp.cluster.lan"
 )
 
-// Options holds what the configuration does not contain. Both fields are required.
+// Options holds what the configuration does not contain. Clock and Log are required.
 type Options struct {
-	Clock clock.Clock
-	Log   zerolog.Logger
+	Clock  clock.Clock
+	Log    zerolog.Logger
+	Dial   backend.DialFunc // opens connections to workers; nil means net.Dialer.DialContext
+	Listen ListenFunc       // opens the listener for clients; nil means net.Listen
 }
 
+// A ListenFunc opens a listener, as net.Listen does.
+type ListenFunc func(network, addr string) (net.Listener, error)
+
 // A Relay is a running controller, until Stop. Start sets its exported fields, which must not be
 // changed.
 type Relay struct {
@@ -88,6 +94,7 @@
 	s := r.cfg.Settings
 	r.Backend = frame.New(frame.Config{
 		Clock:               r.options.Clock,
+		Dial:                r.options.Dial,
 		DialTimeout:         s.Limits.DialTimeout,
 		WorkerIdleTimeout:   s.Limits.IdleConnectionTimeout,
 		MaxExchangesPerConn: s.Limits.StreamsPerConnection,
@@ -155,7 +162,11 @@
 }
 
 func (r *Relay) listen() error {
-	ln, err := net.Listen("tcp", r.cfg.Listen)
+	listen := r.options.Listen
+	if listen == nil {
+		listen = net.Listen
+	}
+	ln, err := listen("tcp", r.cfg.Listen)
 	if err != nil {
 		return &ConfigError{EnvListen, err}
 	}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -9,7 +9,6 @@
 
 	"github.com/rs/zerolog"
 
-	"kitehub/internal/clock"
 	"kitehub/scheduler"
 )
 
@@ -25,15 +24,17 @@
 
 // Run runs a controller until it has been stopped and has answered the requests that it admitted.
 // It reloads the configuration on request, also while it stops, as it must still learn of draining
-// workers while requests are open. An invalid configuration is a *ConfigError.
-func Run(env func(string) string, log zerolog.Logger, signals Signals) error {
+// workers while requests are open. An invalid configuration is a *ConfigError. The log lines get the
+// controller's name.
+func Run(env func(string) string, o Options, signals Signals) error {
 	c, err := Load(env)
 	if err != nil {
 		return err
 	}
 	applyLimits(c.Limits)
-	log = log.With().Str("controller", c.Name).Logger()
-	r, err := Start(c, Options{Clock: clock.System(), Log: log})
+	log := o.Log.With().Str("controller", c.Name).Logger()
+	o.Log = log
+	r, err := Start(c, o)
 	if err != nil {
 		return err
 	}
