A retry does not start once its key's window or its client's time is over

Cause: the scheduler checks the window in the step that decides a retry; the frame follows when a connection is up, up to a dial timeout later (retryRules.keepsIdempotency; attempt.dial, attempt.send). Change: Send.StartBefore is the end of the permission: the client's deadline, and the end of the window for a keyed request that may have run. The gateway checks it just before the first byte (mayStart), for every class and both backends; an attempt that is too late ends as not started.

--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -147,7 +147,7 @@
 	g.step(clk.Now())
 	transport.callback(0)(backend.Result{Outcome: scheduler.OK, Took: ms, Body: []byte("x")})
 	g.execute(scheduler.Reject{Request: id}, clk.Now())
-	g.execute(scheduler.Send{Request: id, Worker: WorkerID("w2"), Timeout: time.Second}, clk.Now())
+	g.execute(scheduler.Send{Request: id, Worker: WorkerID("w2"), Timeout: time.Second, StartBefore: clk.Now() + time.Second}, clk.Now())
 	if transport.callback(1) != nil {
 		t.Error("another attempt was sent after the request was served")
 	}
@@ -240,3 +240,22 @@
 		t.Errorf("%d retries after attempts that never ran, %d after others, want 1 and 0", n, m)
 	}
 }
+
+// Guards against an attempt that starts after its permission has ended, as its connection came up
+// late or the process stood still: it is not sent, whatever the class.
+func TestAttemptDoesNotStartTooLate(t *testing.T) {
+	for class := range settings().Classes {
+		g, transport, clk, _ := newManualGateway(t)
+		var got []Answer
+		submit(t, g, class, &got)
+		g.step(clk.Now())
+		mayStart := transport.attempts[0].MayStart
+		if !mayStart() {
+			t.Errorf("class %d: an attempt may not start at once", class)
+		}
+		clk.Advance(2 * time.Second) // the call's time
+		if mayStart() || g.Counts.StartedTooLate.Load() != 1 {
+			t.Errorf("class %d: an attempt may start after the client's deadline", class)
+		}
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -73,12 +73,25 @@
 		Digest:         call.Function.Digest,
 		Body:           call.Body,
 		Timeout:        a.Timeout,
-		MayStart:       func() bool { return r.claimed.Load() == 0 },
+		MayStart:       func() bool { return g.mayStart(r, a) },
 	}
 	started.running = g.cfg.Transport.Send(outgoing, func(res backend.Result) { g.attemptEnded(r, call, a, number, res) })
 	r.attempts = append(r.attempts, started)
 }
 
+// mayStart reports whether an attempt may still start. It is called just before the first byte, on
+// a goroutine of the transport.
+func (g *Gateway) mayStart(r *request, a scheduler.Send) bool {
+	if r.claimed.Load() != 0 {
+		return false
+	}
+	if g.cfg.Clock.Now() >= a.StartBefore {
+		g.Counts.StartedTooLate.Add(1)
+		return false
+	}
+	return true
+}
+
 // recordRetry counts a further attempt of a request. It logs the attempt if running the request
 // twice would do harm.
 func (g *Gateway) recordRetry(r *request, next attempt) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,8 @@
 	// RetriesNeverRan counts attempts after the first of a request that is known not to have run,
 	// RetriesMayHaveRun those of a request that may have run.
 	RetriesNeverRan, RetriesMayHaveRun atomic.Int64
+	// StartedTooLate counts attempts that were not sent because their Send.StartBefore had passed.
+	StartedTooLate atomic.Int64
 	// Steps counts steps of the Dispatcher, Panics those that panicked.
 	Steps, Panics atomic.Int64
 	// DigestMismatches counts results of workers that ran another digest than the attempt named.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -50,6 +50,7 @@
 	mu        sync.Mutex             // guards the fields below
 	results   []func(backend.Result) // callbacks of the attempts, in the order sent
 	workers   []scheduler.WorkerID   // workers of the attempts, in the same order
+	attempts  []backend.Attempt      // the attempts, in the same order
 	endpoints []backend.Endpoint
 	actions   []string // actions other than attempts
 }
@@ -63,6 +64,7 @@
 	defer f.mu.Unlock()
 	f.results = append(f.results, done)
 	f.workers = append(f.workers, a.Worker)
+	f.attempts = append(f.attempts, a)
 	return noCancel{}
 }
 
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -10,6 +10,10 @@
 	Request RequestID
 	Worker  WorkerID
 	Timeout time.Duration // of the attempt; 0: it lasts until the client leaves
+	// StartBefore is the time on the clock of Step from which the attempt must not start any more.
+	// If its first byte has not been sent by then, nothing is sent, and the attempt ends as
+	// NotStarted.
+	StartBefore time.Duration
 }
 
 // Reject is the answer to a request that the client may safely send again.
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -184,6 +184,7 @@
 func (d *Dispatcher) send(request *request, worker *worker) {
 	queue := request.queue
 	work := d.classRunTime[request.Class]
+	startBefore := d.retryRules.startBefore(request)
 	d.queues.dequeue(request)
 	request.mayHedge = false
 	d.queues.charge(queue, d.runTime(request), d.now)
@@ -214,7 +215,7 @@
 		awaitsLoad: awaitsLoad,
 	})
 	timeout := max(request.answerDeadline-d.now, d.settings.Tick)
-	d.emit(Send{Request: request.Request, Worker: worker.ID, Timeout: timeout})
+	d.emit(Send{Request: request.Request, Worker: worker.ID, Timeout: timeout, StartBefore: startBefore})
 }
 
 // release marks an attempt as done, and frees its token and its part of the worker's counts.
--- a/scheduler/encoding_test.go
+++ b/scheduler/encoding_test.go
@@ -16,8 +16,8 @@
 func encodeAction(a Action) (string, error) {
 	switch a := a.(type) {
 	case Send:
-		return fmt.Sprintf("send request=%d worker=%d timeout=%d", uint64(a.Request), uint64(a.Worker),
-			int64(a.Timeout)), nil
+		return fmt.Sprintf("send request=%d worker=%d timeout=%d start-before=%d", uint64(a.Request), uint64(a.Worker),
+			int64(a.Timeout), int64(a.StartBefore)), nil
 	case Reject:
 		return fmt.Sprintf("reject request=%d retry-after=%d", uint64(a.Request), int64(a.RetryAfter)), nil
 	case Fail:
@@ -73,7 +73,7 @@
 // Actions of different types or with different fields have different encodings.
 func TestActionEncodingShowsEveryField(t *testing.T) {
 	variants := [][]Action{
-		{Send{}, Send{Request: 1}, Send{Worker: 1}, Send{Timeout: time.Nanosecond}},
+		{Send{}, Send{Request: 1}, Send{Worker: 1}, Send{Timeout: time.Nanosecond}, Send{StartBefore: time.Nanosecond}},
 		{Reject{}, Reject{Request: 1}, Reject{RetryAfter: time.Nanosecond}},
 		{Fail{}, Fail{Request: 1}},
 		{Cancel{}, Cancel{Request: 1}, Cancel{Attempt: 1}},
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -72,7 +72,7 @@
 		return true
 	case class.Idempotency == NonIdempotent:
 		return false
-	case now >= first.sentAt+class.DedupWindow-r.tick:
+	case now >= r.dedupEnd(first, class):
 		return false
 	}
 	return class.DedupScope == AllWorkers ||
@@ -80,6 +80,22 @@
 		class.DedupScope == SameGroup && worker.Group == first.group
 }
 
+// dedupEnd returns the time from which workers may have forgotten the key of an attempt.
+func (r *retryRules) dedupEnd(first *attempt, class *Class) time.Duration {
+	return first.sentAt + class.DedupWindow - r.tick
+}
+
+// startBefore returns the time from which another attempt of a request, allowed by maySend, must not
+// start any more. The attempt may have to wait for a connection until then.
+func (r *retryRules) startBefore(request *request) time.Duration {
+	first := request.firstThatMayHaveRun()
+	class := &r.classes[request.Class]
+	if first == nil || class.Idempotency != IdempotentWithKey {
+		return request.answerDeadline
+	}
+	return min(request.answerDeadline, r.dedupEnd(first, class))
+}
+
 // firstThatMayHaveRun returns the first attempt that is outstanding or may have run, or nil.
 func (r *request) firstThatMayHaveRun() *attempt {
 	for i := range r.attempts {
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -154,3 +154,35 @@
 		}
 	}
 }
+
+// Each Send says until when it may start: to the client's deadline, and to the end of the dedup
+// window if the request has a key and may have run.
+func TestSendStartsBeforeItsPermissionEnds(t *testing.T) {
+	const safe, keyed, unsafe = 0, 1, 2 // keyed: same group, for 2 s
+	s := testSettings()
+	rules := newRetryRules(&s)
+	const sentAt, deadline = 10 * time.Second, 70 * time.Second
+	neverRan := attempt{sentAt: sentAt, done: true}
+	mayHaveRun := attempt{sentAt: sentAt + time.Second, done: true, mayHaveRun: true}
+	outstanding := attempt{sentAt: sentAt}
+	windowAfter := func(first attempt) time.Duration { return first.sentAt + 2*time.Second - s.Tick }
+	for _, tt := range []struct {
+		name   string
+		class  int
+		before []attempt
+		want   time.Duration
+	}{
+		{"safe, first attempt", safe, nil, deadline},
+		{"safe, may have run", safe, []attempt{mayHaveRun}, deadline},
+		{"unsafe, never ran", unsafe, []attempt{neverRan}, deadline},
+		{"keyed, first attempt", keyed, nil, deadline},
+		{"keyed, never ran", keyed, []attempt{neverRan}, deadline},
+		{"keyed, may have run", keyed, []attempt{neverRan, mayHaveRun}, windowAfter(mayHaveRun)},
+		{"keyed, one outstanding", keyed, []attempt{outstanding, mayHaveRun}, windowAfter(outstanding)},
+	} {
+		r := &request{Arrival: Arrival{Class: tt.class}, attempts: tt.before, answerDeadline: deadline}
+		if got := rules.startBefore(r); got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
