Outbox: the deadline of a blocked write does not outlast it

Callers saw: with slow readers or small buffers, connections closed with requests open and no answer; calls to a worker ended as reset. Cause: the flusher sets a write deadline for each blocked write and left it set. A later immediate write goes through the same descriptor, whose RawConn.Write fails once the deadline has passed, and the outbox closes the connection (outbox.writeNow). Change: the deadline is cleared when the flusher has nothing left to write.

--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -166,6 +166,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.pending) == 0 || o.closed {
+		o.conn.SetWriteDeadline(time.Time{}) // a write in writeNow fails once a deadline has passed
 		o.flushing = false
 		o.pending = nil
 		o.spare = nil
