--- a/internal/harness/relaysoak/soak.go
+++ b/internal/harness/relaysoak/soak.go
@@ -67,7 +67,8 @@
 	mu        sync.Mutex
 	process   *exec.Cmd
 	address   string
-	stopping  bool // SIGTERM has been sent, and the next process does not serve yet
+	sigterm   bool // SIGTERM has been sent, and the next process does not serve yet
+	stopping  bool // and clients do not send any more
 	wasKilled bool
 	ended     bool // no more requests are sent
 	serial    uint32
@@ -184,6 +185,7 @@
 func (s *Soak) playFaults() error {
 	end := time.Now().Add(s.options.Duration)
 	restartAt := time.Now().Add(s.options.Duration / 2)
+	restarted := false
 	nextList := time.Now()
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(s.random.Int64N(int64(2 * signalPause))))
@@ -194,8 +196,8 @@
 			nextList = time.Now().Add(time.Duration(s.random.Int64N(int64(2 * listChangePause))))
 		}
 		switch roll := s.random.Float64(); {
-		case time.Now().After(restartAt):
-			restartAt = end
+		case !restarted && time.Now().After(restartAt):
+			restarted = true
 			if err := s.restart(); err != nil {
 				return err
 			}
@@ -238,6 +240,7 @@
 func (s *Soak) stopProcess() error {
 	s.mu.Lock()
 	process := s.process
+	s.sigterm = true
 	s.mu.Unlock()
 	process.Process.Signal(syscall.SIGTERM)
 	ended := make(chan error, 1)
@@ -269,6 +272,14 @@
 	return s.stopping
 }
 
+// terminating reports whether the process is being stopped. Clients then read without pauses: what
+// the shim holds is lost when the process ends, unlike what the kernel holds.
+func (s *Soak) terminating() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sigterm
+}
+
 func (s *Soak) killed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -311,6 +322,7 @@
 	}
 	s.mu.Lock()
 	s.stopping = false
+	s.sigterm = false
 	s.mu.Unlock()
 	return nil
 }
