--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,19 +40,30 @@
 	g.enqueue(scheduler.AttemptEnded{
 		Request: a.Request, Attempt: len(r.attempts), Worker: a.Worker, Outcome: scheduler.NotStarted,
 	})
-	name, group := g.workerLabels(a.Worker)
-	r.attempts = append(r.attempts, attempt{
-		worker: name, group: group, sentAt: now, outcome: scheduler.NotStarted,
-	})
+	skipped := g.newAttempt(r, a.Worker, now)
+	skipped.outcome = scheduler.NotStarted
+	r.attempts = append(r.attempts, skipped)
 	r.outstanding++
 }
 
+// newAttempt returns an attempt of a request at a worker, as listed now.
+func (g *Gateway) newAttempt(r *request, id scheduler.WorkerID, now time.Duration) attempt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.directory.workers[id]
+	run := scheduler.EarlierRun{
+		At:    r.submittedAt, // no later than any attempt
+		Zone:  g.directory.labelIndex("zone", w.Zone),
+		Group: g.directory.labelIndex("group", w.Group),
+	}
+	return attempt{worker: w.Name, group: w.Group, run: run, sentAt: now}
+}
+
 // startAttempt hands an attempt to the transport, and records it.
 func (g *Gateway) startAttempt(r *request, a scheduler.Send, now time.Duration) {
 	number := len(r.attempts)
 	call := r.call
-	started := attempt{sentAt: now}
-	started.worker, started.group = g.workerLabels(a.Worker)
+	started := g.newAttempt(r, a.Worker, now)
 	if number > 0 {
 		g.recordRetry(r, started)
 	}
@@ -75,7 +86,8 @@
 		Timeout:        a.Timeout,
 		MayStart:       func() bool { return g.mayStart(r, a) },
 	}
-	started.running = g.cfg.Transport.Send(outgoing, func(res backend.Result) { g.attemptEnded(r, call, a, number, res) })
+	run := started.run
+	started.running = g.cfg.Transport.Send(outgoing, func(res backend.Result) { g.attemptEnded(r, call, &run, a, number, res) })
 	r.attempts = append(r.attempts, started)
 }
 
@@ -118,8 +130,10 @@
 // latest.
 //
 // The call is a parameter because request.call belongs to the loop, which clears it with the
-// answer.
-func (g *Gateway) attemptEnded(r *request, call *Call, a scheduler.Send, number int, res backend.Result) {
+// answer. run describes the attempt.
+func (g *Gateway) attemptEnded(
+	r *request, call *Call, run *scheduler.EarlierRun, a scheduler.Send, number int, res backend.Result,
+) {
 	if g.hasDigestMismatch(r, call, res) {
 		g.Counts.DigestMismatches.Add(1)
 		g.cfg.Log.Error().Str("worker", g.workerName(a.Worker)).Str("function", call.Function.Name).
@@ -128,7 +142,7 @@
 	}
 	wasLastOpen := false
 	if res.Outcome == scheduler.OK {
-		wasLastOpen = g.deliver(r, call, res.Body) && g.openCount.Load() == 1
+		wasLastOpen = g.deliver(r, call, run, res.Body) && g.openCount.Load() == 1
 	}
 	res.Body = nil
 	e := scheduler.AttemptEnded{
@@ -167,17 +181,20 @@
 // deliver gives a worker's answer to the client and returns true, unless the request has been
 // answered already or its version was superseded. A superseded request is handed back to its
 // ingress.
-func (g *Gateway) deliver(r *request, call *Call, body []byte) bool {
+func (g *Gateway) deliver(r *request, call *Call, run *scheduler.EarlierRun, body []byte) bool {
+	if call.Earlier != nil {
+		run = call.Earlier
+	}
 	if v := g.verdict(call); v != registry.Allowed && v != registry.BeingSuperseded {
 		if r.claim(Superseded) {
-			call.Deliver(Answer{Kind: Superseded, Verdict: v, MayHaveRun: true})
+			call.Deliver(Answer{Kind: Superseded, Verdict: v, MayHaveRun: true, FirstRun: run})
 		}
 		return false
 	}
 	if !r.claim(Served) {
 		return false
 	}
-	call.Deliver(Answer{Kind: Served, Body: body})
+	call.Deliver(Answer{Kind: Served, Body: body, FirstRun: run})
 	return true
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,6 +5,7 @@
 
 	"kitehub/internal/hookadvice"
 	"kitehub/internal/registry"
+	"kitehub/scheduler"
 )
 
 // A Call is submitted by an ingress. It must not be changed after Submit.
@@ -32,6 +33,9 @@
 	Retry bool
 	// RunTimeHint is how long the client expects the call to run; 0: unknown.
 	RunTimeHint time.Duration
+	// Earlier describes the first run of the call if its client has sent it before and it may have
+	// run, as Answer.FirstRun gave it. Nil: it has not run.
+	Earlier *scheduler.EarlierRun
 	// Deliver receives the final answer. It is called exactly once unless the gateway is killed, on
 	// any goroutine, also after a Cancel (with ClientClosed). It must not block.
 	Deliver func(Answer)
@@ -91,6 +95,9 @@
 	DeadlineExceeded bool
 	// MayHaveRun tells that an attempt may have run. It is set unless the request was served.
 	MayHaveRun bool
+	// FirstRun describes the first attempt that may have run; nil: none has. If the client sends the
+	// same call once more, as it did not get the answer, it has to be submitted with it as Earlier.
+	FirstRun *scheduler.EarlierRun
 	// Verdict is why a call was superseded: the alias has left the version, or this controller's
 	// lease has expired.
 	Verdict registry.Verdict
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -140,12 +140,4 @@
 	return g.directory.workers[id].Name
 }
 
-// workerLabels returns the name and the group of a worker, as listed.
-func (g *Gateway) workerLabels(id scheduler.WorkerID) (name, group string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	w := g.directory.workers[id]
-	return w.Name, w.Group
-}
-
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,6 +194,7 @@
 		Resubmitted:    c.Binding != nil && c.Binding.Restarts > 0,
 		ShedAdvised:    c.verdict.ShedAdvised,
 		Weight:         c.verdict.Weight,
+		Earlier:        c.Earlier,
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -31,6 +31,7 @@
 type attempt struct {
 	worker   string
 	group    string                 // of the worker, as listed when the attempt was sent
+	run      scheduler.EarlierRun   // what is known of it, should it have run
 	running  backend.RunningAttempt // nil once the attempt has ended
 	sent     backend.Transmission   // set once the attempt has ended
 	sentAt   time.Duration
@@ -55,11 +56,25 @@
 
 // mayHaveRun reports whether an attempt of the request may have run, or may still run.
 func (r *request) mayHaveRun() bool {
-	return slices.ContainsFunc(r.attempts, func(a attempt) bool {
+	return r.call != nil && r.call.Earlier != nil || slices.ContainsFunc(r.attempts, func(a attempt) bool {
 		return a.outcome.MayHaveRun() // also while it has no outcome
 	})
 }
 
+// firstRun describes the first attempt that may have run, also before this call, or returns nil.
+func (r *request) firstRun() *scheduler.EarlierRun {
+	if r.call.Earlier != nil {
+		return r.call.Earlier
+	}
+	for i := range r.attempts {
+		if r.attempts[i].outcome.MayHaveRun() {
+			run := r.attempts[i].run
+			return &run
+		}
+	}
+	return nil
+}
+
 // hasRunning reports whether an attempt is in flight.
 func (r *request) hasRunning() bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.running != nil })
@@ -101,6 +116,7 @@
 // answer gives the final answer to a request that the loop has claimed.
 func (g *Gateway) answer(id scheduler.RequestID, r *request, a Answer, now time.Duration) {
 	a.MayHaveRun = r.mayHaveRun()
+	a.FirstRun = r.firstRun()
 	r.call.Deliver(a)
 	g.recordAnswer(id, r, a, now)
 }
--- a/internal/ingress/msgpackrpc/admission.go
+++ b/internal/ingress/msgpackrpc/admission.go
@@ -149,6 +149,7 @@
 			return
 		case <-ticker.C:
 		}
+		s.history.expire(s.cfg.Clock.Now())
 		for _, c := range s.silentConns(s.cfg.Clock.Now()) {
 			s.Counts.TimedOut.Add(1)
 			c.out.Close()
--- a/internal/ingress/msgpackrpc/conn.go
+++ b/internal/ingress/msgpackrpc/conn.go
@@ -34,8 +34,10 @@
 
 // An inFlightRequest is a request that the gateway has not answered.
 type inFlightRequest struct {
-	txn uint64
-	id  scheduler.RequestID // at the gateway; set once submitted
+	txn       uint64
+	class     *scheduler.Class
+	expiresAt time.Duration       // from then on its client sends it no more
+	id        scheduler.RequestID // at the gateway; set once submitted
 }
 
 func (s *Server) newConn(socket net.Conn) *conn {
@@ -167,7 +169,7 @@
 	c.mu.Unlock()
 	c.recordAbandoned(cause, len(inFlight))
 	for _, r := range inFlight {
-		s.endTxn(r.txn)
+		s.history.abandon(r.txn)
 		s.cfg.Gateway.Cancel(r.id)
 	}
 	c.out.Close()
--- a/internal/ingress/msgpackrpc/request.go
+++ b/internal/ingress/msgpackrpc/request.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"kitehub/internal/gateway"
+	"kitehub/scheduler"
 )
 
 // handleRequest submits a request to the gateway, or answers it with an error. It returns false if
@@ -27,23 +28,38 @@
 	}
 	if inFlight >= s.cfg.MaxInFlight {
 		s.Counts.OverLimit.Add(1)
-		c.out.Send(appendError(nil, m.id, errorRejected, "why", "too many open on this connection"))
+		kind := errorRejected
+		if s.history.knows(txn) { // it may have run, and a rejection would say that it has not
+			kind = errorFailed
+		}
+		c.out.Send(appendError(nil, m.id, kind, "why", "too many open on this connection"))
 		return c.countFault()
 	}
-	if !s.beginTxn(txn) {
+	readAt := s.cfg.Clock.Now()
+	earlier, ok := s.history.begin(txn, readAt)
+	if !ok {
 		return c.answerInvalid(m.id, "txn: it is open")
 	}
+	if earlier != nil {
+		s.Counts.SentAgain.Add(1)
+		call.TimeLeft -= s.cfg.Clock.Now() - readAt
+		call.Earlier = earlier
+	}
 	return c.submit(m.id, txn, call)
 }
 
 // submit submits a call to the gateway. It returns false if the connection is being closed.
 func (c *conn) submit(id uint32, txn uint64, call *gateway.Call) bool {
 	s := c.server
-	r := &inFlightRequest{txn: txn}
+	r := &inFlightRequest{
+		txn:       txn,
+		class:     &s.cfg.Settings.Classes[call.Function.Class],
+		expiresAt: s.cfg.Clock.Now() + call.TimeLeft + historySlack,
+	}
 	c.mu.Lock()
 	if c.stopped {
 		c.mu.Unlock()
-		s.endTxn(txn)
+		s.history.drop(txn)
 		return false
 	}
 	c.inFlight[id] = r
@@ -52,7 +68,7 @@
 	s.Counts.Requests.Add(1)
 	requestID, accepted := s.cfg.Gateway.Submit(call)
 	if !accepted {
-		c.deliver(id, r, gateway.Answer{Kind: gateway.Rejected})
+		c.deliver(id, r, notAccepted(call, r.class))
 		return true
 	}
 	c.mu.Lock()
@@ -61,6 +77,15 @@
 	return true
 }
 
+// notAccepted returns the answer to a call that the gateway does not accept. One that may have run
+// before is only rejected if another retry does no harm.
+func notAccepted(call *gateway.Call, class *scheduler.Class) gateway.Answer {
+	if call.Earlier != nil && !class.HarmlessRetry() {
+		return gateway.Answer{Kind: gateway.Failed, MayHaveRun: true, FirstRun: call.Earlier}
+	}
+	return gateway.Answer{Kind: gateway.Rejected, FirstRun: call.Earlier}
+}
+
 // claim removes a request in flight. It returns false if the request has already been answered or
 // cancelled.
 func (c *conn) claim(id uint32, r *inFlightRequest) bool {
@@ -77,10 +102,10 @@
 // It does not block, and may be called from any goroutine. If the connection is closed, the answer
 // is dropped; the reading goroutine then ends.
 func (c *conn) deliver(id uint32, r *inFlightRequest, a gateway.Answer) {
+	c.server.history.end(r.txn, r.class, &a, r.expiresAt)
 	if !c.claim(id, r) {
 		return
 	}
-	c.server.endTxn(r.txn)
 	c.recordActivity()
 	if a.Kind != gateway.ClientClosed {
 		c.out.Send(c.encodeAnswer(id, a))
@@ -113,6 +138,6 @@
 		return
 	}
 	c.server.Counts.Withdrawn.Add(1)
-	c.server.endTxn(r.txn)
+	c.server.history.abandon(r.txn)
 	c.server.cfg.Gateway.Cancel(r.id)
 }
--- a/internal/ingress/msgpackrpc/server.go
+++ b/internal/ingress/msgpackrpc/server.go
@@ -44,6 +44,7 @@
 	OverLimit atomic.Int64 // requests rejected because of MaxInFlight
 	Malformed atomic.Int64 // connections closed because of a malformed message
 	Withdrawn atomic.Int64 // requests cancelled by the client
+	SentAgain atomic.Int64 // requests that may have run before their client sent them once more
 	Abandoned atomic.Int64 // requests that were open when their connection ended
 }
 
@@ -61,9 +62,10 @@
 	draining atomic.Bool
 	done     chan struct{} // closed by Close
 
+	history *history
+
 	mu     sync.Mutex
 	conns  map[*conn]struct{}
-	txns   map[uint64]struct{} // of requests in flight; a request with one of them is rejected
 	closed bool
 	empty  chan struct{} // nil before Finish; closed when no connection is left
 }
@@ -81,7 +83,7 @@
 		classes: map[string]int{},
 		tenants: map[string]int{},
 		conns:   map[*conn]struct{}{},
-		txns:    map[uint64]struct{}{},
+		history: newHistory(),
 		done:    make(chan struct{}),
 	}
 	for i, class := range cfg.Settings.Classes {
@@ -117,22 +119,3 @@
 		time.Sleep(s.cfg.Settings.Tick)
 	}
 }
-
-// beginTxn adds the txn of a new request. It returns false if a request with the same txn is in
-// flight.
-func (s *Server) beginTxn(txn uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, inFlight := s.txns[txn]; inFlight {
-		return false
-	}
-	s.txns[txn] = struct{}{}
-	return true
-}
-
-// endTxn removes the txn of a request that has ended.
-func (s *Server) endTxn(txn uint64) {
-	s.mu.Lock()
-	delete(s.txns, txn)
-	s.mu.Unlock()
-}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -46,9 +46,9 @@
 
 // idempotencyNames are the names of scheduler.Idempotency in the log.
 var idempotencyNames = map[scheduler.Idempotency]string{
-	scheduler.Idempotent:        "idempotent",
-	scheduler.IdempotentWithKey: "idempotent with key",
-	scheduler.NonIdempotent:     "not idempotent",
+	scheduler.Idempotent:        "may repeat",
+	scheduler.IdempotentWithKey: "may repeat with its key",
+	scheduler.NonIdempotent:     "must not repeat",
 }
 
 // logRetryRules logs what the settings allow to be sent again.
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -117,7 +117,7 @@
 	case noTime || !d.admits(request):
 		return true
 	}
-	return len(request.attempts) > 0 && !d.mayRetry(request)
+	return request.wasSent() && !d.mayRetry(request)
 }
 
 // cannotMeetDeadline reports whether a run that begins now is expected to end after the request's
@@ -130,7 +130,7 @@
 
 // admits reports whether a request may be sent. A request that was sent before is always admitted.
 func (d *Dispatcher) admits(r *request) bool {
-	return len(r.attempts) > 0 ||
+	return r.wasSent() ||
 		!r.ShedAdvised && d.admission.admits(r.Request, r.Weight, r.ClientRetry)
 }
 
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -71,6 +71,15 @@
 	Write          bool          // the request writes; no decision depends on it
 	ShedAdvised    bool          // advice says to reject it
 	Weight         float64       // admission weight of its tenant: see admission.admits; 0 counts as 1
+	Earlier        *EarlierRun   // the client has sent it before, and it may have run; nil: it has not
+}
+
+// EarlierRun describes the first attempt that may have run of a request that has ended, for its
+// client may send the same request once more.
+type EarlierRun struct {
+	At    time.Duration // the earliest time at which it may have been sent, on the clock of Step
+	Zone  int           // of its worker, as in WorkerInfo
+	Group int           // of its worker, as in WorkerInfo
 }
 
 // AttemptEnded reports the outcome of an attempt. The attempts of a request are numbered from 0 in
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -39,3 +39,6 @@
 func (r *request) hasOutstanding() bool {
 	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.done })
 }
+
+// wasSent reports whether an attempt of the request has been sent, also before its arrival.
+func (r *request) wasSent() bool { return len(r.attempts) > 0 || r.Earlier != nil }
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -96,8 +96,13 @@
 	return min(request.answerDeadline, r.dedupEnd(first, class))
 }
 
-// firstThatMayHaveRun returns the first attempt that is outstanding or may have run, or nil.
+// firstThatMayHaveRun returns the first attempt that is outstanding or may have run, or nil. It may
+// be one from before the arrival.
 func (r *request) firstThatMayHaveRun() *attempt {
+	if r.Earlier != nil {
+		run := *r.Earlier
+		return &attempt{sentAt: run.At, zone: run.Zone, group: run.Group, done: true, mayHaveRun: true}
+	}
 	for i := range r.attempts {
 		if a := &r.attempts[i]; !a.done || a.mayHaveRun {
 			return a
--- a/scheduler/retry_test.go
+++ b/scheduler/retry_test.go
@@ -186,3 +186,38 @@
 		}
 	}
 }
+
+// A request that its client sends once more, and that may have run, keeps the rules of a retry from
+// its arrival on.
+func TestRequestThatRanBeforeItsArrivalIsARetry(t *testing.T) {
+	const safe, keyed, unsafe = 0, 1, 2 // keyed: same group, for 2 s
+	inGroup := func(group int) *EarlierRun { return &EarlierRun{At: 900 * ms, Group: group} }
+	for _, tt := range []struct {
+		name    string
+		class   int
+		earlier *EarlierRun
+		at      time.Duration
+		want    WorkerID // that it is sent to; 0: it fails
+	}{
+		{"unsafe", unsafe, inGroup(2), time.Second, 0},
+		{"unsafe, never ran", unsafe, nil, time.Second, 2},
+		{"keyed, in its group", keyed, inGroup(2), time.Second, 2},
+		{"keyed, outside its group", keyed, inGroup(7), time.Second, 0},
+		{"keyed, after its window", keyed, inGroup(2), 3 * time.Second, 0},
+		{"safe", safe, inGroup(7), 3 * time.Second, 2},
+	} {
+		only := ready(2)[0]
+		only.Group = 2
+		d := start(t, testSettings(), only)
+		event := arrival(1, tt.class, 7)
+		event.Earlier = tt.earlier
+		actions := d.Step(tt.at, []Event{event})
+		sent, failed := actionsOf[Send](actions), actionsOf[Fail](actions)
+		switch {
+		case len(actionsOf[Reject](actions)) > 0 || len(sent)+len(failed) != 1:
+			t.Errorf("%s: actions %v, want one Send or Fail", tt.name, actions)
+		case tt.want == 0 && len(failed) == 0, tt.want != 0 && (len(sent) == 0 || sent[0].Worker != tt.want):
+			t.Errorf("%s: actions %v, want worker %d", tt.name, actions, tt.want)
+		}
+	}
+}
