Relay: a connection is not idle until its answers are written

Callers saw: a close in place of an answer, on a server at its limit of connections; a client that sends the request once more makes it run twice. Cause: deliver removed the request from the connection, then recorded activity, then queued the answer. An eviction or check for silence in between found nothing in flight and an old activity. Answers that wait in the outbox did not count either (stopIfIdle). Change: deliver queues the answer and removes the request under the connection's lock; a connection with pending answers is not idle.

--- a/internal/ingress/msgpackrpc/admission_test.go
+++ b/internal/ingress/msgpackrpc/admission_test.go
@@ -1,8 +1,13 @@
 package msgpackrpc
 
 import (
+	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"kitehub/internal/clock"
+	"kitehub/internal/gateway"
 )
 
 func TestEvictionCandidate(t *testing.T) {
@@ -96,3 +101,75 @@
 		}
 	}
 }
+
+// Guards against an answer that is lost, whose client would send the request once more: a connection
+// is not idle while an answer is being queued or waits to be written.
+func TestConnectionWithUnwrittenAnswerIsNotIdle(t *testing.T) {
+	s := serve(t, func(c *Config) { c.MaxBody = 64 << 20 })
+	c := s.dial(t)
+	c.send(newRequest(1, "lookup", withFields(), []byte("x")))
+	call := <-s.gateway.calls
+	s.mu.Lock()
+	var answering *conn
+	for open := range s.conns {
+		answering = open
+	}
+	s.mu.Unlock()
+	call.Deliver(gateway.Answer{Kind: gateway.Served, Body: make([]byte, 32<<20)}) // more than the kernel's buffers hold
+	if !answering.out.HasPending() {
+		t.Fatal("the kernel has taken the whole answer")
+	}
+	if answering.stopIfIdle() {
+		t.Error("a connection whose answer waits to be written counts as idle")
+	}
+}
+
+// A gatedClock is a clock whose readings wait, while the gate is armed, until the gate is opened.
+type gatedClock struct {
+	clock.Clock
+	armed atomic.Bool
+	waits chan struct{} // receives a value for each reading that waits
+	open  chan struct{}
+}
+
+func (c *gatedClock) Now() time.Duration {
+	if c.armed.CompareAndSwap(true, false) {
+		c.waits <- struct{}{}
+		<-c.open
+	}
+	return c.Clock.Now()
+}
+
+// Guards against a connection that is evicted between the moment in which a request gets its answer
+// and the one in which the answer is queued.
+func TestConnectionIsNotEvictedWhileItsAnswerIsQueued(t *testing.T) {
+	gated := &gatedClock{Clock: clock.System(), waits: make(chan struct{}), open: make(chan struct{})}
+	s := serve(t, func(c *Config) { c.Clock = gated })
+	c := s.dial(t)
+	c.send(newRequest(1, "lookup", withFields(), []byte("x")))
+	call := <-s.gateway.calls
+	s.mu.Lock()
+	var answering *conn
+	for open := range s.conns {
+		answering = open
+	}
+	s.mu.Unlock()
+	gated.armed.Store(true) // deliver reads the clock
+	go call.Deliver(served("answer"))
+	<-gated.waits
+	evicted := make(chan struct{})
+	go func() {
+		defer close(evicted)
+		if answering.stopIfIdle() {
+			answering.out.Close()
+		}
+	}()
+	for range 1000 { // lets the eviction run as far as it can
+		runtime.Gosched()
+	}
+	close(gated.open)
+	if _, got := c.answer(); got != "served answer" {
+		t.Errorf("answer %q, want served answer", got)
+	}
+	<-evicted
+}
--- a/internal/ingress/msgpackrpc/conn.go
+++ b/internal/ingress/msgpackrpc/conn.go
@@ -66,13 +66,13 @@
 	}
 }
 
-// stopIfIdle stops the connection from accepting requests if none is in flight, so that it can be
-// closed: the client sends a request that crosses the close again. It reports whether the
-// connection is stopped.
+// stopIfIdle stops the connection from accepting requests if none is in flight and no answer waits
+// to be written, so that it can be closed: the client sends a request that crosses the close again.
+// It reports whether the connection is stopped.
 func (c *conn) stopIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopped = c.stopped || len(c.inFlight) == 0
+	c.stopped = c.stopped || len(c.inFlight) == 0 && !c.out.HasPending()
 	return c.stopped
 }
 
--- a/internal/ingress/msgpackrpc/request.go
+++ b/internal/ingress/msgpackrpc/request.go
@@ -103,13 +103,20 @@
 // is dropped; the reading goroutine then ends.
 func (c *conn) deliver(id uint32, r *inFlightRequest, a gateway.Answer) {
 	c.server.history.end(r.txn, r.class, &a, r.expiresAt)
-	if !c.claim(id, r) {
+	if a.Kind == gateway.ClientClosed {
+		c.claim(id, r)
 		return
 	}
-	c.recordActivity()
-	if a.Kind != gateway.ClientClosed {
-		c.out.Send(c.encodeAnswer(id, a))
+	message := c.encodeAnswer(id, a)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inFlight[id] != r {
+		return
 	}
+	// The request stays in flight until its answer is queued: see stopIfIdle.
+	c.out.Send(message)
+	c.recordActivity()
+	delete(c.inFlight, id)
 }
 
 // encodeAnswer returns the response message with an answer.
