Gateway: a stop waits for answers that are being delivered

Callers saw: at a stop, a close in place of an answer that had been claimed; whoever sends the request once more has it run twice. Cause: the goroutine that serves claims the answer, then delivers it. The loop, as it ends, finds the claim taken and returns; Stop returns and the ingress closes the connections (deliver against answerAll). Change: a read lock from claim to delivery; the loop holds the lock while it answers the rest. Measured: TestStopWaitsForAnswersOnTheirWay fails 5 of 5 without the lock, passes 5 of 5 with -race.

--- a/internal/gateway/answer_test.go
+++ b/internal/gateway/answer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -259,3 +261,36 @@
 		}
 	}
 }
+
+// Guards against an answer that is claimed but not delivered when Stop returns: its connection would
+// be closed without it, and its client might send the request once more.
+func TestStopWaitsForAnswersOnTheirWay(t *testing.T) {
+	g, transport, clk, _ := newManualGateway(t)
+	delivering, deliver := make(chan struct{}), make(chan struct{})
+	var delivered atomic.Bool
+	id, err := g.AddFunction("f1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Submit(&Call{ID: "m", Function: &Function{Name: "f1", ID: id, Class: 1, Lanes: 2}, TimeLeft: 2 * time.Second,
+		Deliver: func(Answer) {
+			close(delivering)
+			<-deliver
+			delivered.Store(true)
+		}})
+	g.step(clk.Now())
+	go transport.callback(0)(backend.Result{Outcome: scheduler.OK, Body: []byte("yes")})
+	<-delivering // claimed, and not delivered yet
+	stopped := make(chan bool)
+	go func() {
+		g.shutDown()
+		stopped <- delivered.Load()
+	}()
+	for range 1000 { // lets shutDown run as far as it can
+		runtime.Gosched()
+	}
+	close(deliver)
+	if !<-stopped {
+		t.Error("the loop has ended while an answer was on its way")
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -182,6 +182,8 @@
 // answered already or its version was superseded. A superseded request is handed back to its
 // ingress.
 func (g *Gateway) deliver(r *request, call *Call, run *scheduler.EarlierRun, body []byte) bool {
+	g.delivering.RLock()
+	defer g.delivering.RUnlock()
 	if call.Earlier != nil {
 		run = call.Earlier
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,10 @@
 	nextID    atomic.Uint64 // the last RequestID given out
 	killed    atomic.Bool
 
+	// delivering is held for reading from the claim of a served answer until it has been delivered.
+	// The loop holds it when it ends, so that no answer is on its way once Stop returns.
+	delivering sync.RWMutex
+
 	mu             sync.Mutex // guards the fields up to the empty line
 	pendingEvents  []scheduler.Event
 	pendingCalls   map[scheduler.RequestID]*Call // the call of each Arrival in pendingEvents
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -45,6 +45,8 @@
 			g.recordAttemptEnd(e, results[attemptKey{e.Request, e.Attempt}], now)
 		}
 	}
+	g.delivering.Lock() // answers on their way come first
+	defer g.delivering.Unlock()
 	g.answerAll(now)
 }
 
