Relay: a request read on a connection that is being closed is answered

Callers saw: a close with no answer for a request that had been read, as its connection had been chosen for eviction or as silent a moment before. Cause: the chooser closed the socket at once; the reading goroutine found the connection stopped and returned without a word (conn.submit). Change: the chooser stops the connection and ends its reads; the reading goroutine closes it, and rejects a request that it has read. Nothing of that is forwarded, as before.

--- a/internal/ingress/msgpackrpc/admission.go
+++ b/internal/ingress/msgpackrpc/admission.go
@@ -89,7 +89,7 @@
 func (s *Server) admit(c *conn) admission {
 	evicted, admitted := s.tryAdmit(c)
 	if evicted != nil {
-		evicted.out.Close()
+		evicted.closeAfterReading()
 	}
 	return admitted
 }
@@ -152,7 +152,7 @@
 		s.history.expire(s.cfg.Clock.Now())
 		for _, c := range s.silentConns(s.cfg.Clock.Now()) {
 			s.Counts.TimedOut.Add(1)
-			c.out.Close()
+			c.closeAfterReading()
 		}
 	}
 }
--- a/internal/ingress/msgpackrpc/admission_test.go
+++ b/internal/ingress/msgpackrpc/admission_test.go
@@ -70,7 +70,8 @@
 }
 
 // A request may arrive after its connection was chosen for eviction and before it is closed. It
-// must not be accepted: the client sends it again on another connection, so it would run twice.
+// must not be accepted: the client sends it again on another connection, so it would run twice. Once
+// it has been read, it is answered.
 func TestEvictedConnectionAcceptsNoRequest(t *testing.T) {
 	s := serve(t, nil)
 	c := s.dial(t)
@@ -86,8 +87,11 @@
 		t.Fatal("stopIfIdle does not stop an idle connection")
 	}
 	c.send(newRequest(2, "lookup", withFields(), []byte("x")))
-	if _, got := c.answer(); got != "closed" || len(s.gateway.calls) > 0 {
-		t.Errorf("answer %s, %d calls reached the gateway; want closed and none", got, len(s.gateway.calls))
+	if id, got := c.answer(); id != 2 || got != "Rejected" || len(s.gateway.calls) > 0 {
+		t.Errorf("answer %d %s, %d calls reached the gateway; want 2 Rejected and none", id, got, len(s.gateway.calls))
+	}
+	if _, got := c.answer(); got != "closed" {
+		t.Errorf("after the answer: %s, want closed", got)
 	}
 
 	busy := s.dial(t)
--- a/internal/ingress/msgpackrpc/conn.go
+++ b/internal/ingress/msgpackrpc/conn.go
@@ -76,6 +76,17 @@
 	return c.stopped
 }
 
+// closeAfterReading lets the reading goroutine close the connection, which must be stopped. A request that has
+// been read is answered first.
+func (c *conn) closeAfterReading() {
+	if c.SetReadDeadline(pastDeadline) != nil {
+		c.out.Close()
+	}
+}
+
+// pastDeadline is a deadline that makes reads fail at once.
+var pastDeadline = time.Unix(1, 0)
+
 // recordActivity records activity on the connection.
 func (c *conn) recordActivity() { c.lastActivity.Store(int64(c.server.cfg.Clock.Now())) }
 
--- a/internal/ingress/msgpackrpc/request.go
+++ b/internal/ingress/msgpackrpc/request.go
@@ -57,9 +57,10 @@
 		expiresAt: s.cfg.Clock.Now() + call.TimeLeft + historySlack,
 	}
 	c.mu.Lock()
-	if c.stopped {
+	if c.stopped { // it was chosen to be closed before the request was read
 		c.mu.Unlock()
 		s.history.drop(txn)
+		c.out.Send(c.encodeAnswer(id, notAccepted(call, r.class)))
 		return false
 	}
 	c.inFlight[id] = r
