Frames: a dead connection is reset, so that unsent calls do not arrive later

Callers would see: a call that was given up on a silent connection reaches its worker once a partition has healed, and runs although another attempt has run; for a keyed request after its window. Cause: closing a socket leaves unsent bytes with the kernel, which goes on sending them (conn.check). Change: a connection whose ping is unanswered is closed with SO_LINGER 0. Measured: TestDeadConnectionDiscardsUnsentCalls fails without the change, passes 3 of 3 with -race.

--- a/internal/backend/frame/check.go
+++ b/internal/backend/frame/check.go
@@ -46,6 +46,7 @@
 	case closeConn:
 		if dead {
 			b.Counts.Dead.Add(1)
+			c.discardUnsent()
 		}
 		c.out.Close() // the reading goroutine ends the exchanges in flight
 	}
--- a/internal/backend/frame/check_test.go
+++ b/internal/backend/frame/check_test.go
@@ -1,6 +1,9 @@
 package frame
 
 import (
+	"context"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +150,37 @@
 	// The dead connection must be closed. The other one is idle and may be closed too.
 	waitFor(func() bool { return b.Traffic()[0].Conns <= 1 })
 }
+
+// A lingerConn records whether the kernel was told to discard unsent data at the close.
+type lingerConn struct {
+	*net.TCPConn
+	discards *atomic.Bool
+}
+
+func (c lingerConn) SetLinger(seconds int) error {
+	c.discards.Store(seconds == 0)
+	return c.TCPConn.SetLinger(seconds)
+}
+
+// Guards against a call that runs after it was given up: what a silent worker has not received of a
+// dead connection must not reach it later, when a partition has healed.
+func TestDeadConnectionDiscardsUnsentCalls(t *testing.T) {
+	addr, _ := startRecordingWorker(t, noResponse) // answers no ping
+	var discards atomic.Bool
+	b := newTestBackend(t, addr, func(c *Config) {
+		c.PingAfter = 10 * time.Millisecond
+		c.Dial = func(_ context.Context, network, addr string) (net.Conn, error) {
+			conn, err := net.Dial(network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return lingerConn{conn.(*net.TCPConn), &discards}, nil
+		}
+	})
+	if r := sendAndWait(b, newAttempt(1)); r.Outcome != scheduler.Reset {
+		t.Errorf("outcome %v, want Reset", r.Outcome)
+	}
+	if !discards.Load() {
+		t.Error("the kernel goes on sending what the dead connection holds")
+	}
+}
--- a/internal/backend/frame/conn.go
+++ b/internal/backend/frame/conn.go
@@ -196,6 +196,15 @@
 	}
 }
 
+// discardUnsent makes the kernel discard what has not been received when the connection is closed.
+// Otherwise it would go on sending it: once a partition heals, a call could reach the worker long
+// after it was given up, and run although another attempt has run meanwhile.
+func (c *conn) discardUnsent() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		tcp.SetLinger(0)
+	}
+}
+
 // evict closes an idle connection and removes it from its worker at once, so that another one may
 // be opened. It returns false if an exchange has started on the connection meanwhile.
 func (c *conn) evict() bool {
