Tests of related paths: bytes of a frame, late second answers, ends of the loop by class

Change: the outbox against eight faults of its system call after each byte of a message; late second copies of all three answers that say 'never ran'; the end of the loop by stop and by panic, for each class and each state of an attempt. The outbox takes its system call as a field for it.

--- a/internal/backend/frame/attempt_test.go
+++ b/internal/backend/frame/attempt_test.go
@@ -107,37 +107,41 @@
 	}
 }
 
-// A worker may send an "at capacity" response twice. The second one, arriving late, must not end a
-// retry of the same call at the same worker, so the retry uses another connection.
+// A worker may send a response twice. A second one that says that the call never ran, arriving late,
+// must not end a retry of the same call at the same worker, so the retry uses another connection.
 func TestRetryOfCallUsesAnotherConnection(t *testing.T) {
-	retried := make(chan struct{})
-	conns := make(chan int, 10)
-	addr := startFakeWorker(t, func(n int, c *net.TCPConn) {
-		command, err := fakeplatform.ReadCommand(c)
-		if err != nil {
-			return
-		}
-		conns <- n
-		if n == 0 {
-			c.Write(fakeplatform.Response(codeAtCapacity, command.ID, "", ""))
-			<-retried
-			c.Write(fakeplatform.Response(codeAtCapacity, command.ID, "", ""))
+	for code, want := range map[byte]scheduler.Outcome{
+		codeAtCapacity: scheduler.AtCapacity, codeNotLoaded: scheduler.NotLoaded, codeAlreadyEnded: scheduler.NotStarted,
+	} {
+		retried := make(chan struct{})
+		conns := make(chan int, 10)
+		addr := startFakeWorker(t, func(n int, c *net.TCPConn) {
+			command, err := fakeplatform.ReadCommand(c)
+			if err != nil {
+				return
+			}
+			conns <- n
+			if n == 0 {
+				c.Write(fakeplatform.Response(code, command.ID, "", ""))
+				<-retried
+				c.Write(fakeplatform.Response(code, command.ID, "", ""))
+				readUntilClosed(c)
+				return
+			}
+			close(retried)
+			c.Write(fakeplatform.Response(codeOK, command.ID, "", "answer"))
 			readUntilClosed(c)
-			return
+		})
+		b := newTestBackend(t, addr, nil)
+		if r := sendAndWait(b, newAttempt(7)); r.Outcome != want {
+			t.Fatalf("code %d, first: %v", code, r.Outcome)
+		}
+		if r := sendAndWait(b, newAttempt(7)); r.Outcome != scheduler.OK {
+			t.Errorf("code %d, retry: %v", code, r.Outcome)
+		}
+		if first, second := <-conns, <-conns; first == second {
+			t.Errorf("code %d: both attempts used the same connection", code)
 		}
-		close(retried)
-		c.Write(fakeplatform.Response(codeOK, command.ID, "", "answer"))
-		readUntilClosed(c)
-	})
-	b := newTestBackend(t, addr, nil)
-	if r := sendAndWait(b, newAttempt(7)); r.Outcome != scheduler.AtCapacity {
-		t.Fatalf("first: %v", r.Outcome)
-	}
-	if r := sendAndWait(b, newAttempt(7)); r.Outcome != scheduler.OK {
-		t.Errorf("retry: %v", r.Outcome)
-	}
-	if first, second := <-conns, <-conns; first == second {
-		t.Error("both attempts used the same connection")
 	}
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -26,10 +26,13 @@
 			PriorityWeight:   1,
 		}
 	}
+	keyed := class("keyed", scheduler.IdempotentWithKey)
+	keyed.DedupScope = scheduler.SameGroup
+	keyed.DedupWindow = time.Second
 	return scheduler.Settings{
 		Controllers: 1,
 		Tick:        ms,
-		Classes:     []scheduler.Class{class("safe", scheduler.Idempotent), class("unsafe", scheduler.NonIdempotent)},
+		Classes:     []scheduler.Class{class("safe", scheduler.Idempotent), class("unsafe", scheduler.NonIdempotent), keyed},
 		Limits: scheduler.Limits{
 			MaxAttempts: 3, MaxOpenRequests: 10, DialTimeout: 250 * ms, Cancel: true, Peers: true,
 		},
--- a/internal/gateway/loop_test.go
+++ b/internal/gateway/loop_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"runtime"
 	"strings"
@@ -191,3 +192,52 @@
 		t.Errorf("answers %+v, want one Rejected", answers)
 	}
 }
+
+// Guards against an answer that invites another try of a request that may have run: when the loop
+// ends or the dispatcher fails, each request is rejected only if it never ran or may run again.
+func TestNoEndOfTheLoopRejectsWhatMayHaveRun(t *testing.T) {
+	outcomes := map[string]scheduler.Outcome{
+		"no attempt": 0, "outstanding": 0, "cancelled by the end": 0,
+		"full": scheduler.AtCapacity, "not loaded": scheduler.NotLoaded, "connect failed": scheduler.ConnectFailed, "not started": scheduler.NotStarted,
+		"error": scheduler.Error, "timed out": scheduler.TimedOut, "reset": scheduler.Reset, "cancelled": scheduler.Cancelled,
+	}
+	ends := map[string]func(*Gateway, time.Duration){
+		"stop":  func(g *Gateway, _ time.Duration) { g.shutDown() },
+		"panic": func(g *Gateway, now time.Duration) { g.restartDispatcher(errors.New("test"), now) },
+	}
+	for class, c := range settings().Classes {
+		for state, outcome := range outcomes {
+			for end, endLoop := range ends {
+				g, _, clk, _ := newManualGateway(t)
+				var got []Answer
+				submit(t, g, class, &got)
+				if state == "no attempt" {
+					events, calls, results := g.takePending()
+					for _, e := range events {
+						g.applyEvent(e, calls, results, clk.Now())
+					}
+				} else {
+					g.step(clk.Now())
+				}
+				if outcome != 0 { // recorded, and not decided on yet
+					g.recordAttemptEnd(scheduler.AttemptEnded{Request: g.onlyRequest(), Outcome: outcome}, backend.Result{}, clk.Now())
+				}
+				if state == "cancelled by the end" {
+					g.inFlight[g.onlyRequest()].cancelAttempts()
+				}
+				endLoop(g, clk.Now())
+				neverRan := state == "no attempt" || outcome != 0 && !outcome.MayHaveRun()
+				want := Failed
+				if neverRan || c.HarmlessRetry() {
+					want = Rejected
+				}
+				if len(got) != 1 || got[0].Kind != want {
+					t.Errorf("%s, %s, %s: answers %+v, want one %v", c.Name, state, end, got, want)
+				}
+			}
+		}
+	}
+}
+
+// onlyRequest returns the id of the one request in flight.
+func (g *Gateway) onlyRequest() scheduler.RequestID { return sortedKeys(g.inFlight)[0] }
--- a/internal/outbox/outbox.go
+++ b/internal/outbox/outbox.go
@@ -25,6 +25,7 @@
 	raw          syscall.RawConn // nil: only the flusher writes, and TrySend always fails
 	maxPending   int             // bytes
 	stallTimeout time.Duration   // a reader that accepts no data for this long is disconnected
+	write        writeFunc       // the system call
 
 	mu              sync.Mutex
 	pending         []byte     // data that the flusher has yet to take
@@ -39,10 +40,13 @@
 	queuedEnd       uint64 // position up to which the outbox has taken over the stream
 }
 
+// A writeFunc writes to a descriptor, as syscall.Write does.
+type writeFunc func(fd int, b []byte) (n int, err error)
+
 // New returns an outbox for a connection. At most maxPending bytes are pending for a slow reader. A
 // reader that accepts none of them for stallTimeout is disconnected.
 func New(conn net.Conn, maxPending int, stallTimeout time.Duration) *Outbox {
-	o := &Outbox{conn: conn, maxPending: maxPending, stallTimeout: stallTimeout}
+	o := &Outbox{conn: conn, maxPending: maxPending, stallTimeout: stallTimeout, write: syscall.Write}
 	o.writeEnded = sync.NewCond(&o.mu)
 	if socket, ok := conn.(syscall.Conn); ok {
 		if raw, err := socket.SyscallConn(); err == nil {
@@ -116,7 +120,7 @@
 	}
 	var writeErr error // handled after Write returns: a close in the callback would wait for itself
 	err := o.raw.Write(func(fd uintptr) bool {
-		n, writeErr = writeNonblocking(int(fd), b)
+		n, writeErr = writeNonblocking(o.write, int(fd), b)
 		return true
 	})
 	o.writtenEnd += uint64(n)
@@ -127,9 +131,9 @@
 }
 
 // writeNonblocking writes until the kernel accepts no more data, which is not an error.
-func writeNonblocking(fd int, b []byte) (n int, err error) {
+func writeNonblocking(write writeFunc, fd int, b []byte) (n int, err error) {
 	for n < len(b) {
-		written, err := syscall.Write(fd, b[n:])
+		written, err := write(fd, b[n:])
 		n += max(0, written)
 		switch {
 		case errors.Is(err, syscall.EINTR):
--- a/internal/outbox/outbox_test.go
+++ b/internal/outbox/outbox_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -245,3 +247,53 @@
 		t.Fatalf("the connection was closed after its reader had caught up: %v", o.CloseCause())
 	}
 }
+
+// Guards against a message that is sent twice, or lost, because the outbox is wrong about how much of
+// it was accepted: for each fault of the system call, after each byte of the message, "not written"
+// must mean that the other side cannot have it.
+func TestWrittenIsTrueAfterEachByte(t *testing.T) {
+	message := []byte("a message")
+	for _, fault := range []syscall.Errno{
+		0, syscall.EINTR, syscall.EAGAIN, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENOBUFS,
+	} {
+		for position := range len(message) + 1 {
+			t.Run(fmt.Sprintf("%s after %d bytes", fault.Error(), position), func(t *testing.T) {
+				testWrittenWithFault(t, message, fault, position)
+			})
+		}
+	}
+}
+
+// testWrittenWithFault sends a message of which the first system call accepts the bytes up to a
+// position. The next one fails; without a fault it continues, so that the write was short.
+func testWrittenWithFault(t *testing.T, message []byte, fault syscall.Errno, position int) {
+	ours, theirs := connPair(t)
+	o := New(ours, 1<<20, time.Minute)
+	calls := 0
+	o.write = func(fd int, b []byte) (int, error) {
+		calls++
+		switch {
+		case calls == 1 && position > 0:
+			return syscall.Write(fd, b[:position])
+		case fault == syscall.EAGAIN, calls <= 2 && fault != 0:
+			return -1, fault
+		}
+		return syscall.Write(fd, b)
+	}
+	end, ok := o.TrySend(message)
+	o.Close() // beside the flusher, if it runs
+	written := o.Written(end)
+	ours.Close()
+	received, _ := io.ReadAll(theirs)
+	continues := fault == 0 || fault == syscall.EINTR
+	switch {
+	case !ok && len(received) > 0:
+		t.Errorf("TrySend returned false, and %d bytes arrived", len(received))
+	case ok && !written && len(received) == len(message):
+		t.Error("the message arrived and counts as not written")
+	case (continues || position == len(message)) && !(ok && written && len(received) == len(message)):
+		t.Errorf("ok %v, written %v, %d bytes arrived, want all %d", ok, written, len(received), len(message))
+	case !continues && position == 0 && ok:
+		t.Error("TrySend returned true, though nothing was accepted")
+	}
+}
