Gateway: a step of the wall clock does not change when a worker started

Callers would see: after a step forward, workers that have just started count as warm and are pushed over; after a step back they count as cold for as long as the step. Cause: a worker's start, a time of day, was converted by the offset of the clocks at each list (directory.clockOffset), so each step moved the start of all workers. Change: startTimes keeps the offsets before and after each step, takes the latest start that is not in the future, and keeps it while the worker is listed with that start.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -32,8 +31,7 @@
 	workers      map[scheduler.WorkerID]Worker   // the endpoint list
 	listVersion  uint32
 	labelIndexes map[string]int // keys are "zone name", "group name" and "kind name"
-	// clockOffset is the gateway's clock minus the time of day, taken when the last list arrived.
-	clockOffset time.Duration
+	startTimes   startTimes
 }
 
 func newDirectory(s scheduler.Settings) directory {
@@ -82,9 +80,7 @@
 			Group: d.labelIndex("group", w.Group),
 			Kind:  d.labelIndex("kind", w.Kind),
 		}
-		if !w.Started.IsZero() {
-			info.StartedAt = max(1, time.Duration(w.Started.UnixNano())+d.clockOffset)
-		}
+		info.StartedAt = d.startTimes.at(id)
 		update.Workers = append(update.Workers, info)
 	}
 	return update
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,6 +121,7 @@
 		rng:            rand.New(rand.NewPCG(cfg.Seed, 1)),
 		answered:       explanationRing{capacity: cfg.MaxExplanations},
 	}
+	g.directory.startTimes.observe(cfg.Clock.Now(), cfg.Clock.Wall())
 	// The dispatcher derives its random draws from a hash of the request id, so two controllers
 	// must not use the same ids.
 	g.nextID.Store(g.rng.Uint64() >> 24 << 8)
--- a/internal/gateway/workers.go
+++ b/internal/gateway/workers.go
@@ -42,7 +42,9 @@
 	}
 	g.directory.workers = next
 	g.directory.listVersion = version
-	g.directory.clockOffset = g.cfg.Clock.Now() - time.Duration(g.cfg.Clock.Wall().UnixNano())
+	now := g.cfg.Clock.Now()
+	g.directory.startTimes.observe(now, g.cfg.Clock.Wall())
+	g.directory.startTimes.convertAll(next, now)
 	g.updateEndpoints()
 	if g.cfg.Hooks != nil {
 		g.notifyHooks(old, next)
--- a/internal/gateway/workers_test.go
+++ b/internal/gateway/workers_test.go
@@ -59,3 +59,36 @@
 		t.Errorf("started %v ago, want 3 s", got)
 	}
 }
+
+// Guards against a worker that is sent too much after its start, because the time of day was stepped:
+// whichever of the two readings is wrong, a worker counts as just started, and stays so.
+func TestWorkerStartSurvivesClockSteps(t *testing.T) {
+	const age = 3 * time.Second
+	for _, step := range []time.Duration{time.Hour, -time.Hour, 5 * time.Second, -5 * time.Second, 1500 * ms} {
+		for _, wrongBefore := range []bool{false, true} {
+			g, _, clk, _ := newManualGateway(t)
+			started := clk.Wall().Add(-age) // on a clock that is right
+			if wrongBefore {
+				started = started.Add(step)
+			}
+			w := readyWorker("w1", "a:1")
+			w.Started = started
+			clk.SetWall(clk.Wall().Add(step))
+			update := func(version uint32) time.Duration {
+				if err := g.UpdateWorkers(scheduler.FullList, version, []Worker{w}); err != nil {
+					t.Fatal(err)
+				}
+				return g.pendingList.Workers[0].StartedAt
+			}
+			at := update(2)
+			if got := clk.Now() - at; got < 0 || got > age {
+				t.Errorf("step %v, wrong before it %v: started %v ago, want at most %v", step, wrongBefore, got, age)
+			}
+			clk.Advance(time.Second)
+			clk.SetWall(clk.Wall().Add(-2 * step))
+			if later := update(3); later != at {
+				t.Errorf("step %v, wrong before it %v: a further step changed the start by %v", step, wrongBefore, later-at)
+			}
+		}
+	}
+}
