Frames: a connection is closed as idle only if no call has started on it

Callers saw: calls that ended as reset, and so failed if unsafe, at workers that were well. Cause: CloseIdle looked at a connection's calls, then closed it; conn.check decided under the lock and closed after it. A call could start in between, and was lost. Change: both mark the connection closed under the lock under which calls start (evict, check).

--- a/internal/backend/frame/backend.go
+++ b/internal/backend/frame/backend.go
@@ -200,9 +200,7 @@
 		return
 	}
 	for _, c := range w.connections() {
-		if c.state(0).inFlight == 0 {
-			c.out.Close()
-		}
+		c.evict()
 	}
 }
 
--- a/internal/backend/frame/check.go
+++ b/internal/backend/frame/check.go
@@ -33,8 +33,11 @@
 	b := c.worker.backend
 	c.mu.Lock()
 	action := c.nextAction(now)
-	if action == pingConn {
+	switch action {
+	case pingConn:
 		c.pingSentAt = now
+	case closeConn:
+		c.closed = true // before a call can start on it
 	}
 	dead := c.pingSentAt > 0
 	c.sweepEnded(now)
--- a/internal/backend/frame/placement_test.go
+++ b/internal/backend/frame/placement_test.go
@@ -158,3 +158,36 @@
 		t.Errorf("%d connections lost with calls in flight", lost)
 	}
 }
+
+// Guards against a call that is lost because its connection was closed as idle just as the call
+// started on it.
+func TestClosingIdleConnectionsLosesNoCall(t *testing.T) {
+	addr := startFakeWorker(t, func(_ int, c *net.TCPConn) {
+		fakeplatform.ReadCommands(c, func(command fakeplatform.Command) bool {
+			c.Write(respondOK(command))
+			return true
+		})
+	})
+	b := newTestBackend(t, addr, func(c *Config) { c.MaxConns = 4 })
+	stop := make(chan struct{})
+	closing := make(chan struct{})
+	go func() {
+		defer close(closing)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				b.CloseIdle(1)
+			}
+		}
+	}()
+	for id := range uint64(3000) {
+		if r := sendAndWait(b, newAttempt(id)); r.Outcome == scheduler.Reset {
+			t.Errorf("call %d was lost on a connection that was closed as idle", id)
+			break
+		}
+	}
+	close(stop)
+	<-closing
+}
