--- a/internal/ingress/msgpackrpc/admission_test.go
+++ b/internal/ingress/msgpackrpc/admission_test.go
@@ -69,6 +69,16 @@
 	}
 }
 
+// onlyConn returns the one open connection.
+func (s *testServer) onlyConn() (only *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for open := range s.conns {
+		only = open
+	}
+	return only
+}
+
 // A request may arrive after its connection was chosen for eviction and before it is closed. It
 // must not be accepted: the client sends it again on another connection, so it would run twice. Once
 // it has been read, it is answered.
@@ -77,12 +87,7 @@
 	c := s.dial(t)
 	c.send(newRequest(1, "status", map[string]string{}))
 	c.answer()
-	s.mu.Lock()
-	var idle *conn
-	for open := range s.conns {
-		idle = open
-	}
-	s.mu.Unlock()
+	idle := s.onlyConn()
 	if !idle.stopIfIdle() {
 		t.Fatal("stopIfIdle does not stop an idle connection")
 	}
@@ -113,12 +118,7 @@
 	c := s.dial(t)
 	c.send(newRequest(1, "lookup", withFields(), []byte("x")))
 	call := <-s.gateway.calls
-	s.mu.Lock()
-	var answering *conn
-	for open := range s.conns {
-		answering = open
-	}
-	s.mu.Unlock()
+	answering := s.onlyConn()
 	call.Deliver(gateway.Answer{Kind: gateway.Served, Body: make([]byte, 32<<20)}) // more than the kernel's buffers hold
 	if !answering.out.HasPending() {
 		t.Fatal("the kernel has taken the whole answer")
@@ -152,12 +152,7 @@
 	c := s.dial(t)
 	c.send(newRequest(1, "lookup", withFields(), []byte("x")))
 	call := <-s.gateway.calls
-	s.mu.Lock()
-	var answering *conn
-	for open := range s.conns {
-		answering = open
-	}
-	s.mu.Unlock()
+	answering := s.onlyConn()
 	gated.armed.Store(true) // deliver reads the clock
 	go call.Deliver(served("answer"))
 	<-gated.waits
