Soak: a stop of the process is recorded before the process continues

Traced: the relay's log has late_us 299109, the stop by SIGSTOP; the harness recorded the stop after SIGCONT, so calls that arrived in between were checked without it. Change: the stop is recorded before SIGCONT. No bound is changed.

--- a/internal/harness/relaysoak/play_test.go
+++ b/internal/harness/relaysoak/play_test.go
@@ -221,8 +221,9 @@
 	from := time.Now()
 	s.signal(syscall.SIGSTOP)
 	time.Sleep(time.Duration(s.random.Int64N(int64(maxStop))))
-	s.signal(syscall.SIGCONT)
+	// Recorded first: what the process does once it continues is checked against it.
 	s.ledger.recordStall(from, time.Now())
+	s.signal(syscall.SIGCONT)
 	s.ledger.count("pauses")
 }
 
