--- a/review/testdata/two/worker.go
+++ b/review/testdata/two/worker.go
@@ -78,6 +78,9 @@
 		"name": "body", "shape": []int{1}, "datatype": "BYTES",
 		"parameters": map[string]any{"binary_data_size": len(body)},
 	}}})
+	if digest := r.Header.Get("kitehub-digest"); digest != "" {
+		w.Header().Set("kitehub-digest", digest)
+	}
 	w.Header().Set("Inference-Header-Content-Length", strconv.Itoa(len(head)))
 	w.Header().Set("Content-Length", strconv.Itoa(len(head)+len(body)))
 	w.Write(head)
