--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,7 +5,7 @@
 root=$(cd "$here/../.." && pwd)
 cd "$root" || exit 2
 [ -x review/bin/two ] && [ -x bin/kitehub ] || exit 2
-timeout -k 5 110 review/bin/two body "$root/bin/kitehub" "$here/record.txt"
+timeout -k 5 110 review/bin/two policy "$root/bin/kitehub" "$here/record.txt"
 rc=$?
 [ "$rc" -le 2 ] || rc=2
 exit "$rc"
--- a/review/testdata/two/config.go
+++ b/review/testdata/two/config.go
@@ -9,7 +9,7 @@
 controllers: 1
 tick_ms: 2
 state_dir: "DIR/state"
-stop_ms: 8000
+stop_ms: 5000
 webhook {
   listen: "ADDR"
   prefix: "/call/"
@@ -26,12 +26,12 @@
   idle_ms: 30000
 }
 classes { name: "quote" effect: SAFE aim_ms: 600 deadline_ms: 4000 worth: 1 late_share: 0.3 }
-classes { name: "slow" effect: UNSAFE aim_ms: 6000 deadline_ms: 8000 worth: 1 }
+classes { name: "transfer" effect: UNSAFE aim_ms: 1200 deadline_ms: 5000 worth: 2 }
 classes { name: "grant" effect: KEYED scope: ALL_WORKERS window_ms: 8000 aim_ms: 600 deadline_ms: 4000 worth: 2 }
 classes { name: "trade" effect: UNSAFE aim_ms: 600 deadline_ms: 4000 worth: 2 }
 functions { name: "warm" class: "quote" memory_mb: 500 lanes: 8 load_ms: 300 }
 functions { name: "quotes" class: "quote" memory_mb: 500 lanes: 8 load_ms: 300 }
-functions { name: "long" class: "slow" memory_mb: 500 lanes: 8 load_ms: 300 }
+functions { name: "transfer" class: "transfer" memory_mb: 500 lanes: 8 load_ms: 300 }
 functions { name: "grant" class: "grant" memory_mb: 500 lanes: 8 load_ms: 300 }
 functions { name: "trade" class: "trade" memory_mb: 500 lanes: 8 load_ms: 300 }
 tenants { name: "lakeside" share: 1 }
--- a/review/testdata/two/hook.go
+++ b/review/testdata/two/hook.go
@@ -72,7 +72,7 @@
 	b.notef("%d of %d calls had no answer %v after they were sent", lost, calls, patience)
 	b.signal(controller, syscall.SIGTERM)
 	if !controller.awaitEnd(15 * time.Second) {
-		b.notef("the controller still runs 15 s after SIGTERM, with stop_ms 8000")
+		b.notef("the controller still runs 15 s after SIGTERM, with stop_ms 5000")
 	}
 	return lost > 0, nil
 }
--- a/review/testdata/two/sigterm.go
+++ b/review/testdata/two/sigterm.go
@@ -13,7 +13,7 @@
 // sigtermCase takes a controller over while calls run, and sends SIGTERM to the old process before
 // it has finished them.
 func sigtermCase(b *bench) (broken bool, err error) {
-	f := &fleet{bench: b, work: 3 * time.Second}
+	f := &fleet{bench: b, work: 2 * time.Second}
 	addr, err := b.setUp(f, []string{"w1", "w2"}, `daemon { handover: "DIR/handover" }`)
 	if err != nil {
 		return false, err
@@ -33,14 +33,14 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c := call{function: "long", id: fmt.Sprintf("long%d", i), body: fmt.Sprintf(`{"call":%d}`, i), at: time.Now()}
+			c := call{function: "transfer", id: fmt.Sprintf("transfer%d", i), body: fmt.Sprintf(`{"call":%d}`, i), at: time.Now()}
 			begin := time.Now()
 			a, err := sendOnce(addr, c, 12*time.Second)
 			b.notef("client of call %s after %v: %v %v", c.id, time.Since(begin).Round(time.Millisecond), a, err)
 			unanswered[i] = errors.Is(err, errUnanswered)
 		}()
 	}
-	time.Sleep(800 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
 	next, err := b.begin("new", "serve", "--config", config, "--take-over")
 	if err != nil {
 		return false, err
@@ -60,7 +60,7 @@
 	for i, u := range unanswered {
 		if u {
 			lost++
-			b.notef("call long%d: %d runs, no answer", i, len(f.runsOf(fmt.Sprintf(`{"call":%d}`, i))))
+			b.notef("call transfer%d: %d runs, no answer", i, len(f.runsOf(fmt.Sprintf(`{"call":%d}`, i))))
 		}
 	}
 	b.notef("%d of %d calls in flight had no answer", lost, calls)
