--- a/review/testdata/two/holder.go
+++ b/review/testdata/two/holder.go
@@ -124,6 +124,7 @@
 			return false, err
 		}
 		b.notef("the new process has logged that the takeover is done; the old one still runs: %v", old.running())
+		time.Sleep(500 * time.Millisecond)
 	}
 	if err := b.awaitModel(addr); err != nil {
 		return false, err
