Logs and counts for answers without a lease and for hook runs that do not return

A controller did not say that its lease had ended, nor count answers given without one; the registry did not say whom it had waited for; a hook run that does not return left no trace at all.

Added: the controller's line and counters, the holders in the registry's line, a monitor of hook runs. No decision changes.

--- a/internal/controller/models.go
+++ b/internal/controller/models.go
@@ -134,3 +134,19 @@
 		}
 	}
 }
+
+// status returns the counters of the registry agent, for operators; nil before the agent is started.
+func (m *modelVersions) status() map[string]int64 {
+	a := m.agent.Load()
+	if a == nil {
+		return nil
+	}
+	epoch, withoutLease := a.Knowledge()
+	return map[string]int64{
+		"epoch":            int64(epoch),
+		"without_lease_ms": withoutLease.Milliseconds(),
+		"unheard_polls":    a.PollsWithoutLease.Load(),
+		"rejected":         a.Nacks.Load(),
+		"stale_answers":    a.StaleAnswers.Load(),
+	}
+}
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -45,6 +45,7 @@
 	Answers        map[string]int64 `json:"answers"` // number by outcome since the start
 	RPC            map[string]int64 `json:"rpc"`
 	Hooks          map[string]int64 `json:"hooks,omitempty"`
+	Registry       map[string]int64 `json:"registry,omitempty"`
 	MeanStepMicros float64          `json:"mean_step_us"` // mean scheduler step time, in microseconds
 	ModuleCrashes  int64            `json:"module_crashes"`
 }
@@ -135,6 +136,9 @@
 	if engine := c.hookEngine.Load(); engine != nil {
 		s.Hooks = c.hookStatus(engine)
 	}
+	if c.models != nil {
+		s.Registry = c.models.status()
+	}
 	return s
 }
 
@@ -168,6 +172,7 @@
 		"refusals":  counts.Rejections.Load(),
 		"over":      counts.OverRejectionLimit.Load(),
 	}
+	status["running"], status["overdue"] = engine.RunsInProgress()
 	if c.notifier != nil {
 		status["notices"] = c.notifier.Sent.Load()
 		status["notices_failed"] = c.notifier.Failed.Load()
--- a/internal/hookengine/admit.go
+++ b/internal/hookengine/admit.go
@@ -37,7 +37,9 @@
 // runInline runs one arrival handler. It queues the outcome, from which the engine's goroutine
 // updates the version's statistics and circuit and runs the shadow.
 func (e *Engine) runInline(vm *hooklang.VM, h *inlineHandler, c hooklang.Call, env hooklang.Env) []hooklang.Advice {
+	monitored := e.monitor.begin(h.script, h.version, "arrive")
 	result, err := vm.Run(h.program, "arrive", c, h.state, env, e.config.InlineLimits)
+	e.monitor.end(monitored)
 	run := &inlineRun{script: h.script, version: h.version, fuel: result.Fuel, advice: result.Advice}
 	if err != nil {
 		run.fault = err.Error()
--- a/internal/hookengine/engine.go
+++ b/internal/hookengine/engine.go
@@ -102,6 +102,7 @@
 	vmPool          sync.Pool                       // of *hooklang.VM
 	gateMutex       sync.Mutex
 	gate            *hookadvice.AdmissionGate // guarded by gateMutex
+	monitor         *runMonitor
 
 	// Owned by the engine's goroutine.
 	lifecycle *Lifecycle
@@ -156,6 +157,7 @@
 		done:           make(chan struct{}),
 		vmPool:         sync.Pool{New: func() any { return hooklang.NewVM() }},
 		gate:           hookadvice.NewAdmissionGate(config.Advice),
+		monitor:        newRunMonitor(),
 		lifecycle:      NewLifecycle(config.Lifecycle, config.Seed),
 		table:          table,
 		vm:             hooklang.NewVM(),
@@ -169,6 +171,7 @@
 		}
 	}
 	e.publishHandlers()
+	go e.monitor.watch(config.Log)
 	go e.run()
 	return e, nil
 }
@@ -178,6 +181,7 @@
 func (e *Engine) Close() error {
 	e.stopOnce.Do(func() { close(e.stop) })
 	<-e.done
+	e.monitor.stop()
 	return e.storeErr
 }
 
@@ -188,6 +192,10 @@
 	e.Close()
 }
 
+// RunsInProgress returns the number of runs that have not returned yet, and of the runs that were
+// logged because they did not return for over a second.
+func (e *Engine) RunsInProgress() (running, overdue int64) { return e.monitor.counts() }
+
 // Post queues an event if any script has a handler for it. It never blocks: if the queue is full
 // the event is dropped and counted.
 func (e *Engine) Post(point string, event hooklang.Event) {
--- a/internal/hookengine/run.go
+++ b/internal/hookengine/run.go
@@ -173,7 +173,9 @@
 	}
 	limits.Stop = func() bool { return time.Since(start) > e.config.RunTimeout }
 	env := hooklang.Env{Now: int64(e.config.Clock.Now()), Wall: e.config.Clock.Wall().Unix()}
+	monitored := e.monitor.begin(loaded.script, loaded.version, point)
 	result, err := e.vm.Run(loaded.program, point, event, loaded.state, env, limits)
+	e.monitor.end(monitored)
 	e.Counts.BackgroundRuns.Add(1)
 	e.Counts.BackgroundNanos.Add(int64(time.Since(start)))
 	return result, err
--- a/internal/registry/agent/agent.go
+++ b/internal/registry/agent/agent.go
@@ -58,6 +58,8 @@
 	// PollsWithoutLease counts failed polls after which the lease had expired, and Nacks counts
 	// responses of the registry that were rejected.
 	PollsWithoutLease, Nacks atomic.Int64
+	// StaleAnswers counts answers that were admitted without a lease, by the policy stale.
+	StaleAnswers atomic.Int64
 
 	reports reports
 }
@@ -102,11 +104,15 @@
 // abandoned.
 func (a *Agent) BeginAnswer(alias registry.AliasName, target registry.Target) (Ticket, time.Duration, registry.Verdict) {
 	g := a.acquireCurrent()
-	verdict := g.view.MayAnswer(a.cfg.Clock.Now(), alias, target)
+	now := a.cfg.Clock.Now()
+	verdict := g.view.MayAnswer(now, alias, target)
 	if verdict != registry.Allowed && verdict != registry.BeingSuperseded {
 		g.release()
 		return Ticket{}, 0, verdict
 	}
+	if now >= g.view.LeaseEnd() {
+		a.StaleAnswers.Add(1)
+	}
 	deadline := g.view.LeaseEnd()
 	if verdict == registry.Allowed && g.view.AllowsStale(alias.Model) {
 		deadline = 0
@@ -114,6 +120,13 @@
 	return Ticket{g}, deadline, registry.Allowed
 }
 
+// Knowledge returns the epoch of the current view, and how long its lease has ended; 0 while the
+// agent holds a lease.
+func (a *Agent) Knowledge() (epoch uint64, withoutLease time.Duration) {
+	view := &a.current.Load().view
+	return view.Epoch(), max(0, a.cfg.Clock.Now()-view.LeaseEnd())
+}
+
 // EndAnswer says that the answer of a ticket was written or never will be.
 func (a *Agent) EndAnswer(ticket Ticket) { ticket.generation.release() }
 
--- a/internal/registry/agent/poll.go
+++ b/internal/registry/agent/poll.go
@@ -34,6 +34,7 @@
 	lease          time.Duration     // duration of the lease, or firstPollTimeout
 	settleDeadline time.Duration     // when calls under superseded targets are abandoned; 0: none
 	older          []*generation     // replaced generations under which answers may still be written
+	leaseEndLogged bool              // since the last response
 }
 
 // run polls until the agent is stopped.
@@ -94,6 +95,7 @@
 	p.failures++
 	if p.agent.cfg.Clock.Now() >= p.agent.current.Load().view.LeaseEnd() {
 		p.agent.PollsWithoutLease.Add(1)
+		p.logLeaseEnd()
 	}
 	backoff := min(maxBackoff, minBackoff<<min(p.failures, 10), p.lease/pollsPerLease)
 	backoff += time.Duration(rand.Float64() * float64(backoff))
@@ -103,6 +105,17 @@
 	p.sleep(backoff)
 }
 
+// logLeaseEnd logs once that the lease has ended, and what the controller still answers.
+func (p *poller) logLeaseEnd() {
+	if p.leaseEndLogged {
+		return
+	}
+	p.leaseEndLogged = true
+	view := &p.agent.current.Load().view
+	p.agent.cfg.Log.Warn().Uint64("epoch", view.Epoch()).Strs("stale", view.StaleModels()).
+		Msg("lease ended, answering by the policy stale only")
+}
+
 // reject keeps the view and tells the registry the reason with the next poll, which requests
 // everything.
 func (p *poller) reject(reason error) {
@@ -119,6 +132,7 @@
 func (p *poller) accept(sentAt time.Duration, update registry.ViewUpdate, resp *wire.DiscoveryResponse) {
 	p.failures = 0
 	p.nack = nil
+	p.leaseEndLogged = false
 	p.lease = update.LeaseDuration
 	view := p.agent.current.Load().view
 	previousEpoch := view.Epoch()
--- a/internal/registry/service/commit.go
+++ b/internal/registry/service/commit.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"kitehub/internal/registry"
@@ -87,7 +89,9 @@
 func (s *Service) logEffect(e registry.Effect) {
 	switch e := e.(type) {
 	case registry.Acknowledged:
-		s.cfg.Log.Info().Uint64("move", e.Migration).Msg("migration acknowledged")
+		// Controllers without a lease are not waited for, so the log says who was.
+		s.cfg.Log.Info().Uint64("move", e.Migration).Uint64("confirmed", s.state.ConfirmedEpoch).
+			Strs("holders", slices.Sorted(maps.Keys(s.leases.Holders(s.now())))).Msg("migration acknowledged")
 	case registry.Aborted:
 		s.cfg.Log.Warn().Uint64("move", e.Migration).Str("why", e.Reason).Msg("migration aborted")
 	case registry.Published:
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -193,6 +193,9 @@
 // LeaseEnd returns when the lease ends, by the controller's own clock.
 func (v *View) LeaseEnd() time.Duration { return v.leaseEnd }
 
+// StaleModels returns the models that permit answers without a lease, sorted.
+func (v *View) StaleModels() []string { return slices.Sorted(maps.Keys(v.current.AllowStale)) }
+
 // AllowsStale reports whether a model permits answers without a lease.
 func (v *View) AllowsStale(model string) bool { return v.current.AllowStale[model] }
 
