--- a/cmd/kitehub/registry.go
+++ b/cmd/kitehub/registry.go
@@ -91,7 +91,16 @@
 	case a.Status == "given up":
 		return fmt.Errorf("move %d was given up: %s", a.Migration, a.Reason)
 	}
-	return fmt.Errorf("move %d is still %s: query it again with kitehub registry move %d", a.Migration, a.Status, a.Migration)
+	return stillInProgress(a)
+}
+
+// stillInProgress returns the error for a migration that has not ended within the wait.
+func stillInProgress(a *wire.Response) error {
+	status := a.Status
+	if a.Reason != "" {
+		status += " (" + a.Reason + ")"
+	}
+	return fmt.Errorf("move %d is still %s: query it again with kitehub registry move %d", a.Migration, status, a.Migration)
 }
 
 func (r *registryClient) query(q wire.Query) (*wire.Response, error) {
@@ -220,6 +229,9 @@
 		if err := json.Unmarshal(text, &m); err != nil {
 			return err
 		}
+		if policy := policyText(&m); policy != "" {
+			fmt.Fprintf(w, "policy\t%s\t%s\n", m.Name, policy)
+		}
 		for _, x := range sortedByName(m.Aliases) {
 			migration := ""
 			if x.Migration != nil && x.Migration.Fenced {
@@ -236,9 +248,25 @@
 	for _, name := range slices.Sorted(maps.Keys(a.Holders)) {
 		fmt.Fprintf(w, "controller\t%s\tepoch %d of %d\n", name, a.Holders[name], a.Epoch)
 	}
+	for _, name := range slices.Sorted(maps.Keys(a.WithoutLease)) {
+		remaining := time.Duration(a.WithoutLease[name]) * time.Millisecond
+		fmt.Fprintf(w, "controller\t%s\tnot heard, may answer stale models for %v\n", name, remaining)
+	}
 	return w.Flush()
 }
 
+// policyText says whether a model permits answers without a lease; "" if it does not, which is the
+// default.
+func policyText(m *registry.Model) string {
+	switch {
+	case m.AllowStale:
+		return "stale"
+	case m.FreshEpoch > 0:
+		return fmt.Sprintf("fresh since epoch %d, waits for controllers", m.FreshEpoch)
+	}
+	return ""
+}
+
 type registryHistoryCmd struct {
 	registryClient
 	Model string `arg:"" optional:""`
--- a/config/registry.go
+++ b/config/registry.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 
 	"kitehub/internal/registry"
@@ -8,6 +9,10 @@
 	"kitehub/internal/signing"
 )
 
+// defaultStaleMS is the default of stale_ms. With a lease of 5 s, answers of stale models outlast a
+// partition of 20 s.
+const defaultStaleMS = 15_000
+
 // A RegistryConfig is the checked configuration of a registry process.
 type RegistryConfig struct {
 	Listen   string // host and port
@@ -40,6 +45,7 @@
 			Settings: registry.Settings{
 				LeaseDuration:      ms(c.LeaseMs),
 				MaxClockDrift:      c.Drift,
+				StaleDuration:      ms(cmp.Or(c.StaleMs, defaultStaleMS)),
 				SettleTimeout:      ms(c.SettleMs),
 				StagingTimeout:     ms(c.StagingMs),
 				Retention:          ms(c.KeepMs),
--- a/internal/controller/versions_test.go
+++ b/internal/controller/versions_test.go
@@ -64,7 +64,7 @@
 	})
 	var err error
 	d.s, _, err = service.Open(service.Config{Clock: d.clock, FS: store.Dir(t.TempDir()), Log: zerolog.Nop(), SnapshotInterval: 100, LongPoll: 100 * ms,
-		Settings: registry.Settings{LeaseDuration: 500 * ms, MaxClockDrift: 0.01, SettleTimeout: settle, StagingTimeout: 5 * time.Second, Retention: time.Second, AutoRollbackWindow: time.Second,
+		Settings: registry.Settings{LeaseDuration: 500 * ms, StaleDuration: time.Second, MaxClockDrift: 0.01, SettleTimeout: settle, StagingTimeout: 5 * time.Second, Retention: time.Second, AutoRollbackWindow: time.Second,
 			MinCalls: 100, MaxErrorIncrease: 0.5, MaxModels: 10, MaxVersions: 10, MaxAliases: 4, MaxControllers: 4, MaxRemembered: 1000}})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/harness/scalebench/models.go
+++ b/internal/harness/scalebench/models.go
@@ -27,7 +27,7 @@
 // and one alias, as commands would create it. It sets the state directly, as the time for commands
 // grows with the square of the number of models.
 func filledRegistry(models int) (*registry.State, error) {
-	s, err := registry.New(registry.Settings{LeaseDuration: time.Minute, MaxClockDrift: 0.01, SettleTimeout: time.Second, StagingTimeout: time.Second, Retention: time.Minute, AutoRollbackWindow: time.Minute,
+	s, err := registry.New(registry.Settings{LeaseDuration: time.Minute, StaleDuration: time.Minute, MaxClockDrift: 0.01, SettleTimeout: time.Second, StagingTimeout: time.Second, Retention: time.Minute, AutoRollbackWindow: time.Minute,
 		MinCalls: 100, MaxErrorIncrease: 0.2, MaxModels: models, MaxVersions: 20, MaxAliases: 5, MaxControllers: 1000, MaxRemembered: 1000})
 	if err != nil {
 		return nil, err
--- a/internal/harness/scalebench/registry.go
+++ b/internal/harness/scalebench/registry.go
@@ -125,7 +125,7 @@
 func controllerName(i int) string { return fmt.Sprintf("controller-%d", i) }
 
 func (r *registryRun) startService() error {
-	settings := registry.Settings{LeaseDuration: r.load.Lease, MaxClockDrift: 0.01, SettleTimeout: r.load.Lease / 8, StagingTimeout: r.load.Lease, Retention: time.Minute, AutoRollbackWindow: time.Minute, MinCalls: 100, MaxErrorIncrease: 0.2,
+	settings := registry.Settings{LeaseDuration: r.load.Lease, StaleDuration: r.load.Lease, MaxClockDrift: 0.01, SettleTimeout: r.load.Lease / 8, StagingTimeout: r.load.Lease, Retention: time.Minute, AutoRollbackWindow: time.Minute, MinCalls: 100, MaxErrorIncrease: 0.2,
 		MaxModels: r.load.Models, MaxVersions: 20, MaxAliases: 5, MaxControllers: r.load.Controllers, MaxRemembered: 1000}
 	s, _, err := service.Open(service.Config{Settings: settings, Clock: clock.System(), FS: store.Dir(r.load.Dir), Log: zerolog.Nop(), SnapshotInterval: snapshotInterval, LongPoll: r.load.Lease / 4})
 	if err != nil {
--- a/internal/harness/scenario/model_registry.go
+++ b/internal/harness/scenario/model_registry.go
@@ -153,7 +153,7 @@
 func (v *modelRegistry) start() error {
 	lease := ms(v.settings.LeaseMs)
 	s, _, err := service.Open(service.Config{Clock: v.p.clk, FS: store.Dir(v.dir), Log: v.p.options.Log, SnapshotInterval: 200, LongPoll: lease / 4,
-		Settings: registry.Settings{LeaseDuration: lease, MaxClockDrift: 0.01, SettleTimeout: ms(v.settings.SettleMs), StagingTimeout: 2 * time.Second, Retention: 3 * time.Second, AutoRollbackWindow: time.Second, MinCalls: 200, MaxErrorIncrease: 0.5,
+		Settings: registry.Settings{LeaseDuration: lease, StaleDuration: lease, MaxClockDrift: 0.01, SettleTimeout: ms(v.settings.SettleMs), StagingTimeout: 2 * time.Second, Retention: 3 * time.Second, AutoRollbackWindow: time.Second, MinCalls: 200, MaxErrorIncrease: 0.5,
 			MaxModels: 10000, MaxVersions: 100, MaxAliases: 4, MaxControllers: 100, MaxRemembered: 100000}})
 	if err != nil {
 		return err
--- a/internal/registry/agent/agent.go
+++ b/internal/registry/agent/agent.go
@@ -8,8 +8,8 @@
 // as the epoch could be confirmed between the check and the write. So a write holds a Ticket of the
 // view that admitted it, from BeginAnswer to EndAnswer, and an epoch is confirmed only once the
 // tickets of all older views are returned. A write must also end before the deadline that
-// BeginAnswer returns, which is the end of the lease, as the registry does not wait for a
-// controller any longer.
+// BeginAnswer returns, which is the end of the lease, or of the permission to answer without one, as
+// the registry does not wait for a controller any longer.
 //
 // # Concurrency
 //
@@ -100,8 +100,7 @@
 
 // BeginAnswer admits the answer of a call under a target, or returns the verdict against it. If the
 // verdict is registry.Allowed, the answer may be written until the returned deadline, by
-// Config.Clock (0 if there is none), and EndAnswer must be called once the answer is written or
-// abandoned.
+// Config.Clock, and EndAnswer must be called once the answer is written or abandoned.
 func (a *Agent) BeginAnswer(alias registry.AliasName, target registry.Target) (Ticket, time.Duration, registry.Verdict) {
 	g := a.acquireCurrent()
 	now := a.cfg.Clock.Now()
@@ -113,11 +112,7 @@
 	if now >= g.view.LeaseEnd() {
 		a.StaleAnswers.Add(1)
 	}
-	deadline := g.view.LeaseEnd()
-	if verdict == registry.Allowed && g.view.AllowsStale(alias.Model) {
-		deadline = 0
-	}
-	return Ticket{g}, deadline, registry.Allowed
+	return Ticket{g}, g.view.AnswerEnd(alias, target), registry.Allowed
 }
 
 // Knowledge returns the epoch of the current view, and how long its lease has ended; 0 while the
--- a/internal/registry/agent/reports.go
+++ b/internal/registry/agent/reports.go
@@ -125,6 +125,7 @@
 func (a *Agent) newRequest(confirmed uint64, nonce string, nack *wire.ErrorDetail) *wire.DiscoveryRequest {
 	request := &wire.DiscoveryRequest{
 		VersionInfo:   strconv.FormatUint(confirmed, 10),
+		EndsStale:     true,
 		Node:          wire.Node{ID: a.cfg.Node},
 		TypeURL:       wire.TypeAlias,
 		ResponseNonce: nonce,
--- a/internal/registry/agent/response.go
+++ b/internal/registry/agent/response.go
@@ -27,6 +27,7 @@
 		Targets:       map[registry.AliasName]registry.Target{},
 		Condemned:     resp.Condemned,
 		LeaseDuration: fromMilliseconds(resp.LeaseMS),
+		StaleDuration: fromMilliseconds(resp.StaleMS),
 		SettleTimeout: fromMilliseconds(resp.SettleMS),
 	}
 	if resp.TypeURL != wire.TypeAlias || update.LeaseDuration <= 0 {
--- a/internal/registry/commands.go
+++ b/internal/registry/commands.go
@@ -125,14 +125,24 @@
 }
 
 func (c EpochConfirmed) apply(s *State, _ time.Duration) ([]Effect, error) {
-	if c.Epoch > s.Epoch {
-		return nil, fmt.Errorf("epoch: %d is newer than the latest, %d", c.Epoch, s.Epoch)
+	if err := s.checkEpoch(c.Epoch); err != nil {
+		return nil, err
 	}
 	s.ConfirmedEpoch = max(s.ConfirmedEpoch, c.Epoch)
 	return nil, nil
 }
 
-// Policy says whether a controller without a lease may answer for a model: see Model.AllowStale.
+// checkEpoch returns an error if the registry never had an epoch.
+func (s *State) checkEpoch(epoch uint64) error {
+	if epoch > s.Epoch {
+		return fmt.Errorf("epoch: %d is newer than the latest, %d", epoch, s.Epoch)
+	}
+	return nil
+}
+
+// Policy says whether a controller without a lease may answer for a model: see Model.AllowStale. A
+// permission that is taken back is in force at a controller once it has learnt of it, or once the
+// permission has ended there: see StaleEnded.
 type Policy struct {
 	Model      string `json:"Model"`
 	AllowStale bool   `json:"Stale"`
@@ -149,7 +159,11 @@
 		return nil, nil
 	}
 	m.AllowStale = p.AllowStale
-	s.Epoch++ // controllers must learn of it; no migration waits for that
+	s.Epoch++ // controllers must learn of it
+	m.FreshEpoch = 0
+	if !p.AllowStale && s.Settings.StaleDuration > 0 {
+		m.FreshEpoch = s.Epoch
+	}
 	s.appendHistory(now, p.By, fmt.Sprintf("policy %s stale %v", p.Model, p.AllowStale), p.Reason)
 	return []Effect{Published{s.Epoch}}, nil
 }
--- a/internal/registry/commands_settings.go
+++ b/internal/registry/commands_settings.go
@@ -17,12 +17,15 @@
 	return nil, nil
 }
 
-// extendEarlierLeases sets EarlierLeasesUntil if leases that were granted until now may outlast
-// those that next permits. Of the two bounds on clock drift the larger one counts.
+// extendEarlierLeases sets EarlierLeasesUntil and EarlierStaleUntil if what was granted until now may
+// outlast what next permits. Of the two bounds on clock drift the larger one counts.
 func (s *State) extendEarlierLeases(next Settings, now time.Duration) {
 	earlier := s.Settings
 	earlier.MaxClockDrift = max(earlier.MaxClockDrift, next.MaxClockDrift)
 	if ttl := earlier.leaseTTL(); ttl > next.leaseTTL() {
 		s.EarlierLeasesUntil = max(s.EarlierLeasesUntil, now+ttl)
 	}
+	if ttl := earlier.staleTTL(); ttl > next.staleTTL() {
+		s.EarlierStaleUntil = max(s.EarlierStaleUntil, now+ttl)
+	}
 }
--- a/internal/registry/effect.go
+++ b/internal/registry/effect.go
@@ -26,6 +26,9 @@
 	Reason    string
 }
 
+// PolicyInForce says that no controller answers for a model by the policy stale any more.
+type PolicyInForce struct{ Model string }
+
 // MigrationStarted names the migration that a command with an idempotency key started; 0 if it
 // started none.
 type MigrationStarted struct{ Migration uint64 }
@@ -43,6 +46,7 @@
 func (Published) effect()        {}
 func (Acknowledged) effect()     {}
 func (Aborted) effect()          {}
+func (PolicyInForce) effect()    {}
 func (MigrationStarted) effect() {}
 func (Replayed) effect()         {}
 func (Collected) effect()        {}
--- a/internal/registry/guarantee_test.go
+++ b/internal/registry/guarantee_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -22,7 +23,7 @@
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			g.now += time.Duration(rapid.IntRange(0, 900).Draw(t, "dt")) * time.Millisecond
 			c := g.controllers[rapid.IntRange(0, 2).Draw(t, "peer")]
-			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			switch rapid.IntRange(0, 10).Draw(t, "what") {
 			case 0, 1, 2:
 				g.polls = append(g.polls, &poll{controller: c, sentAt: c.clock(g.now), epoch: c.confirmed})
 			case 3, 4, 5, 6:
@@ -31,6 +32,8 @@
 				g.disturb(c)
 			case 8:
 				g.migrate()
+			case 9:
+				g.apply(Policy{Model: guarded.Model, AllowStale: rapid.Bool().Draw(t, "stale")})
 			default:
 				g.apply(Tick{})
 			}
@@ -49,6 +52,7 @@
 	polls       []*poll // in flight
 
 	pending      map[uint64][]Target // targets superseded by a migration that is not acknowledged
+	unpromised   map[Target]bool     // superseded by a migration acknowledged while the policy was stale
 	acknowledged map[Target]bool     // targets superseded by an acknowledged migration
 }
 
@@ -89,6 +93,7 @@
 		registry:     r,
 		settings:     settings,
 		pending:      map[uint64][]Target{},
+		unpromised:   map[Target]bool{},
 		acknowledged: map[Target]bool{},
 	}
 	for i := range 3 {
@@ -121,20 +126,29 @@
 		g.pending[state.LastMigration] = append(g.pending[state.LastMigration], before)
 	}
 	for _, e := range effects {
-		if a, ok := e.(Acknowledged); ok {
-			g.acknowledge(a.Migration)
+		switch e := e.(type) {
+		case Acknowledged:
+			g.acknowledge(e.Migration)
+		case PolicyInForce:
+			maps.Copy(g.acknowledged, g.unpromised)
+			clear(g.unpromised)
 		}
 	}
 }
 
-// acknowledge records that a migration and all earlier ones are acknowledged.
+// acknowledge records that a migration and all earlier ones are acknowledged. While the policy is
+// stale, controllers without a lease may go on answering under the targets that they superseded.
 func (g *guaranteeModel) acknowledge(migration uint64) {
 	for id, targets := range g.pending {
 		if id > migration {
 			continue
 		}
 		for _, target := range targets {
-			g.acknowledged[target] = true
+			if g.registry.state.Models[guarded.Model].AllowStale {
+				g.unpromised[target] = true
+			} else {
+				g.acknowledged[target] = true
+			}
 		}
 		delete(g.pending, id)
 	}
@@ -186,7 +200,7 @@
 // registry.
 func (g *guaranteeModel) migrate() {
 	if rapid.IntRange(0, 9).Draw(g.t, "restart") == 0 { // the leases are lost with the process
-		g.registry.leases = NewLeases(g.registry.state, g.now, false)
+		g.restart()
 	}
 	var revision uint64
 	if m := g.registry.state.Models[guarded.Model]; m != nil {
@@ -197,6 +211,15 @@
 	g.apply(Promote{Model: guarded.Model, Alias: guarded.Alias, To: to, IfRevision: revision + off})
 }
 
+// restart starts the registry anew, sometimes with a longer or shorter time of answers without a
+// lease.
+func (g *guaranteeModel) restart() {
+	settings := g.registry.state.Settings
+	settings.StaleDuration = time.Duration(rapid.IntRange(1, 10).Draw(g.t, "stale time")) * sec
+	g.apply(ChangeSettings{settings})
+	g.registry.leases = NewLeases(g.registry.state, g.now, false)
+}
+
 // checkGuarantee fails the test if a controller would return an answer of a target that an
 // acknowledged migration superseded.
 func (g *guaranteeModel) checkGuarantee() {
--- a/internal/registry/migration.go
+++ b/internal/registry/migration.go
@@ -10,6 +10,9 @@
 // operator.
 const registryActor = "registry"
 
+// awaitsStaleReason says why a fenced migration waits for longer than a lease.
+const awaitsStaleReason = "controllers that are not heard may answer by the policy stale until it ends there"
+
 // startMigration begins a migration of an alias to a version, or to none if to is empty, and
 // returns it.
 func (s *State) startMigration(a *Alias, to, by, reason string, now time.Duration) *Migration {
@@ -105,15 +108,21 @@
 		v.Calls = 0
 		v.Errors = 0
 	}
-	s.Fences = append(s.Fences, Fence{Migration: migration.ID, Model: m.Name, Alias: a.Name, Epoch: s.Epoch})
+	s.Fences = append(s.Fences, Fence{
+		Migration:   migration.ID,
+		Model:       m.Name,
+		Alias:       a.Name,
+		Epoch:       s.Epoch,
+		AwaitsStale: migration.To == "" && s.mayBeStale(m),
+	})
 	return []Effect{Published{s.Epoch}}
 }
 
-// acknowledgeFences acknowledges the migrations whose epoch is confirmed: no controller can act
-// against them any more.
+// acknowledgeFences acknowledges the migrations whose epoch is confirmed, once no controller without
+// a lease may answer for their model unless its policy permits that.
 func (s *State) acknowledgeFences() (effects []Effect) {
 	s.Fences = slices.DeleteFunc(s.Fences, func(f Fence) bool {
-		if f.Epoch > s.ConfirmedEpoch {
+		if f.Epoch > s.ConfirmedEpoch || s.awaitsControllersWithoutLease(f) {
 			return false
 		}
 		effects = append(effects, Acknowledged{f.Migration})
@@ -191,8 +200,8 @@
 	return next
 }
 
-// Status returns the progress of a migration: "staging", "fenced", "acknowledged", "given up" with
-// the reason, or "forgotten" if the migration never existed or is no longer remembered. The texts
+// Status returns the progress of a migration: "staging", "fenced", with a reason if it waits for
+// controllers that have no lease, "acknowledged", "given up" with the reason, or "forgotten" if the migration never existed or is no longer remembered. The texts
 // are part of the interface to operators.
 func (s *State) Status(migration uint64) (status, reason string) {
 	for _, end := range s.EndedMigrations {
@@ -204,9 +213,13 @@
 		}
 	}
 	for _, f := range s.Fences {
-		if f.Migration == migration {
-			return "fenced", ""
+		if f.Migration != migration {
+			continue
+		}
+		if s.awaitsControllersWithoutLease(f) {
+			return "fenced", awaitsStaleReason
 		}
+		return "fenced", ""
 	}
 	for _, m := range s.Models {
 		for _, a := range m.Aliases {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -15,6 +15,7 @@
 
 var settings = Settings{
 	LeaseDuration:      5 * sec,
+	StaleDuration:      10 * sec,
 	MaxClockDrift:      0.01,
 	SettleTimeout:      sec,
 	StagingTimeout:     10 * sec,
@@ -56,7 +57,8 @@
 	return &testRegistry{st, NewLeases(st, 0, true)}, err
 }
 
-// apply applies a command, and then the confirmation of an epoch if the leases permit it.
+// apply applies a command, and then the end of the policy stale and the confirmation of an epoch, if
+// the leases permit them.
 func (r *testRegistry) apply(now time.Duration, c Command) ([]Effect, error) {
 	if renewal, ok := c.(renew); ok {
 		if err := r.leases.Renew(now, renewal.Controller, renewal.Epoch, r.state.Epoch, nil); err != nil {
@@ -67,6 +69,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if epoch := min(r.leases.StaleConfirmedEpoch(now), r.state.Epoch); r.state.AwaitsStale(epoch) {
+		more, err := r.state.Apply(now, StaleEnded{epoch})
+		if err != nil {
+			return effects, err
+		}
+		effects = append(effects, more...)
+	}
 	if epoch := min(r.leases.ConfirmedEpoch(now), r.state.Epoch); epoch > r.state.ConfirmedEpoch {
 		more, err := r.state.Apply(now, EpochConfirmed{epoch})
 		return append(effects, more...), err
@@ -185,6 +194,78 @@
 			{0, Policy{Model: "m", AllowStale: true}, "[]", ""},
 			{0, Policy{Model: "n"}, `model: "n" is not known`, ""},
 		},
+		"after a change to fresh, a migration waits until answers by the policy stale have ended": {
+			{0, push("v1", "1"), "[]", ""},
+			{0, push("v2", "2"), "[]", ""},
+			{0, Policy{Model: "m", AllowStale: true}, "[{1}]", ""},
+			{0, to("v1", 0, 0), "[{2} {1}]", "v1@1"},
+			{1, renew{"c1", 2}, "[]", "v1@1"},
+			{2, Policy{Model: "m"}, "[{3}]", "v1@1"},
+			{2, to("v2", 1, 0), "[{4}]", "v2@2"},
+			{7, Tick{}, "[]", "v2@2"}, // the lease has ended, the permission without one has not
+			{16, Tick{}, "[]", "v2@2"},
+			{17, Tick{}, "[{m} {2}]", "v2@2"},
+			{18, renew{"c1", 4}, "[]", "v2@2"},
+			{19, to("v1", 2, 0), "[{5}]", "v1@3"}, // a policy in force costs nothing any more
+			{24, Tick{}, "[{3}]", "v1@3"},
+		},
+		"a controller that confirms the change to fresh is not waited for": {
+			{0, push("v1", "1"), "[]", ""},
+			{0, push("v2", "2"), "[]", ""},
+			{0, Policy{Model: "m", AllowStale: true}, "[{1}]", ""},
+			{0, to("v1", 0, 0), "[{2} {1}]", "v1@1"},
+			{1, renew{"c1", 2}, "[]", "v1@1"},
+			{2, Policy{Model: "m"}, "[{3}]", "v1@1"},
+			{2, renew{"c1", 3}, "[{m}]", "v1@1"},
+			{3, to("v2", 1, 0), "[{4}]", "v2@2"},
+			{8, Tick{}, "[{2}]", "v2@2"},
+		},
+		"a migration that is not acknowledged when fresh comes waits too": {
+			{0, push("v1", "1"), "[]", ""},
+			{0, push("v2", "2"), "[]", ""},
+			{0, Policy{Model: "m", AllowStale: true}, "[{1}]", ""},
+			{0, to("v1", 0, 0), "[{2} {1}]", "v1@1"},
+			{1, renew{"c1", 2}, "[]", "v1@1"},
+			{2, to("v2", 1, 0), "[{3}]", "v2@2"},
+			{3, Policy{Model: "m"}, "[{4}]", "v2@2"},
+			{7, Tick{}, "[]", "v2@2"},
+			{17, Tick{}, "[{m} {2}]", "v2@2"},
+		},
+		"while the policy is stale, also again, a migration waits for leases only": {
+			{0, push("v1", "1"), "[]", ""},
+			{0, push("v2", "2"), "[]", ""},
+			{0, Policy{Model: "m", AllowStale: true}, "[{1}]", ""},
+			{0, to("v1", 0, 0), "[{2} {1}]", "v1@1"},
+			{1, renew{"c1", 2}, "[]", "v1@1"},
+			{2, Policy{Model: "m"}, "[{3}]", "v1@1"},
+			{2, to("v2", 1, 0), "[{4}]", "v2@2"},
+			{3, Policy{Model: "m", AllowStale: true}, "[{5}]", "v2@2"},
+			{7, Tick{}, "[{2}]", "v2@2"},
+			{8, Policy{Model: "m"}, "[{6}]", "v2@2"},
+			{8, to("v1", 2, 0), "[{7}]", "v1@3"},
+			{16, Tick{}, "[]", "v1@3"},
+			{17, Tick{}, "[{m} {3}]", "v1@3"},
+		},
+		"the policy of another model makes no migration wait": {
+			{0, push("v1", "1"), "[]", ""},
+			{0, push("v2", "2"), "[]", ""},
+			{0, Push{Model: "n", Version: Version{Name: "w1", Digest: digestOf("3")}}, "[]", ""},
+			{0, Policy{Model: "n", AllowStale: true}, "[{1}]", ""},
+			{0, to("v1", 0, 0), "[{2} {1}]", "v1@1"},
+			{1, renew{"c1", 2}, "[]", "v1@1"},
+			{2, Policy{Model: "n"}, "[{3}]", "v1@1"},
+			{2, to("v2", 1, 0), "[{4}]", "v2@2"},
+			{7, Tick{}, "[{2}]", "v2@2"},
+		},
+		"condemned bytes are waited for although the policy is stale": {
+			{0, push("v1", "1"), "[]", ""},
+			{0, Policy{Model: "m", AllowStale: true}, "[{1}]", ""},
+			{0, to("v1", 0, 0), "[{2} {1}]", "v1@1"},
+			{1, renew{"c1", 2}, "[]", "v1@1"},
+			{2, Condemn{Model: "m", Version: "v1"}, "[{3} {m v1} {4}]", "@2"},
+			{7, Tick{}, "[]", "@2"},
+			{17, Tick{}, "[{2}]", "@2"},
+		},
 		"invalid commands are rejected and change nothing": {
 			{0, Push{Model: "a b", Version: Version{Name: "v", Digest: digestOf("1")}}, `model: "a b" has the invalid character ' ' at byte 1`, ""},
 			{0, Push{Model: "m", Version: Version{Name: "", Digest: digestOf("1")}}, "version: 0 bytes, want 1 to 128", ""},
--- a/internal/registry/service/codec.go
+++ b/internal/registry/service/codec.go
@@ -25,6 +25,7 @@
 	CopiesReady    *registry.CopiesReady    `json:"stands,omitempty"`
 	CallsEnded     *registry.CallsEnded     `json:"ended,omitempty"`
 	EpochConfirmed *registry.EpochConfirmed `json:"reached,omitempty"`
+	StaleEnded     *registry.StaleEnded     `json:"stale_ended,omitempty"`
 	Tick           *registry.Tick           `json:"tick,omitempty"`
 	ChangeSettings *registry.ChangeSettings `json:"settings,omitempty"`
 }
@@ -41,6 +42,7 @@
 	commands = appendIfSet(commands, r.CopiesReady)
 	commands = appendIfSet(commands, r.CallsEnded)
 	commands = appendIfSet(commands, r.EpochConfirmed)
+	commands = appendIfSet(commands, r.StaleEnded)
 	commands = appendIfSet(commands, r.Tick)
 	commands = appendIfSet(commands, r.ChangeSettings)
 	if len(commands) != 1 {
@@ -87,6 +89,8 @@
 		r.CallsEnded = &c
 	case registry.EpochConfirmed:
 		r.EpochConfirmed = &c
+	case registry.StaleEnded:
+		r.StaleEnded = &c
 	case registry.Tick:
 		r.Tick = &c
 	case registry.ChangeSettings:
--- a/internal/registry/service/commit.go
+++ b/internal/registry/service/commit.go
@@ -94,6 +94,8 @@
 			Strs("holders", slices.Sorted(maps.Keys(s.leases.Holders(s.now())))).Msg("migration acknowledged")
 	case registry.Aborted:
 		s.cfg.Log.Warn().Uint64("move", e.Migration).Str("why", e.Reason).Msg("migration aborted")
+	case registry.PolicyInForce:
+		s.cfg.Log.Info().Str("model", e.Model).Msg("policy fresh in force at every controller")
 	case registry.Published:
 		s.cfg.Log.Info().Uint64("epoch", e.Epoch).Msg("epoch published")
 	case registry.Collected:
--- a/internal/registry/service/controller_test.go
+++ b/internal/registry/service/controller_test.go
@@ -71,7 +71,9 @@
 // A disconnected controller resolves no alias once its lease has expired, except for models that
 // permit stale answers.
 func TestDisconnectedController(t *testing.T) {
-	r := open(t, store.Dir(t.TempDir()))
+	settings := settings
+	settings.StaleDuration = time.Hour
+	r := openWith(t, store.Dir(t.TempDir()), settings)
 	ann := r.client("ann")
 	must(t, ann, "p1", push("v1"))
 	pushStale := push("v1")
@@ -113,6 +115,62 @@
 	}
 }
 
+// A controller that was cut off under the policy stale answered for ever, also after the change to
+// fresh and a later migration were acknowledged (docs/incidents/stale-policy-without-end.md).
+func TestNoStaleAnswerAfterFresh(t *testing.T) {
+	r := open(t, store.Dir(t.TempDir()))
+	ann := r.client("ann")
+	must(t, ann, "p1", push("v1"))
+	must(t, ann, "p2", push("v2"))
+	must(t, ann, "stale", wire.Command{Policy: &registry.Policy{Model: "m", AllowStale: true}})
+	must(t, ann, "k1", promote("v1", 0))
+	a := agent.Start(agent.Config{Client: r.client("c1"), Node: "c1", Clock: clock.System(), Log: zerolog.Nop()})
+	alias := registry.AliasName{Model: "m", Alias: "current"}
+	target, verdict := a.Resolve(alias)
+	for verdict != registry.Allowed {
+		time.Sleep(ms)
+		target, verdict = a.Resolve(alias)
+	}
+	a.Stop() // as if it were cut off: its view stays in force
+	must(t, ann, "fresh", wire.Command{Policy: &registry.Policy{Model: "m"}})
+	resp, err := ann.Command("k2", promote("v2", 1))
+	if err != nil || resp.Status != "acknowledged" {
+		t.Fatalf("%+v %v", resp, err)
+	}
+	if verdict := a.MayAnswer(alias, target); verdict != registry.NoLease {
+		t.Errorf("after the acknowledgement, the version that was left: %v", verdict)
+	}
+	if _, verdict := a.Resolve(alias); verdict != registry.NoLease {
+		t.Errorf("after the acknowledgement, a new call: %v", verdict)
+	}
+}
+
+// A controller of a version that knows no end of the policy stale is not told the models that have
+// it, so it refuses without a lease.
+func TestStaleOnlyForControllersThatEndIt(t *testing.T) {
+	r := open(t, store.Dir(t.TempDir()))
+	ann, c1 := r.client("ann"), r.client("c1")
+	must(t, ann, "p1", push("v1"))
+	must(t, ann, "stale", wire.Command{Policy: &registry.Policy{Model: "m", AllowStale: true}})
+	for _, ends := range []bool{false, true} {
+		body, err := json.Marshal(wire.DiscoveryRequest{Node: wire.Node{ID: "c1"}, TypeURL: wire.TypeAlias, EndsStale: ends})
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _, err := c1.Do(wire.DiscoveryPath, client.NewID("poll"), nil, body, time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var resp wire.DiscoveryResponse
+		if err := json.Unmarshal(text, &resp); err != nil {
+			t.Fatal(err)
+		}
+		if got := len(resp.AllowStale) == 1; got != ends || resp.StaleMS != 600 {
+			t.Errorf("ends it: %v: models %v for %v ms", ends, resp.AllowStale, resp.StaleMS)
+		}
+	}
+}
+
 // A controller that rejects updates delays a migration only until its lease expires.
 func TestNack(t *testing.T) {
 	r := open(t, store.Dir(t.TempDir()))
--- a/internal/registry/service/deadlines.go
+++ b/internal/registry/service/deadlines.go
@@ -36,8 +36,17 @@
 	confirmed := s.state.ConfirmedEpoch
 	deadline := s.state.NextDeadline()
 	expiry := s.leases.NextExpiry(now)
+	staleEpoch := min(s.leases.StaleConfirmedEpoch(now), s.state.Epoch)
+	staleEnded := s.state.AwaitsStale(staleEpoch)
+	staleExpiry := time.Duration(0)
+	if s.state.AwaitsStale(s.state.Epoch) {
+		staleExpiry = s.leases.NextStaleExpiry(now)
+	}
 	s.mu.Unlock()
 	var err error
+	if staleEnded {
+		_, err = s.Commit(registry.StaleEnded{Epoch: staleEpoch})
+	}
 	if epoch > confirmed {
 		_, err = s.Commit(registry.EpochConfirmed{Epoch: epoch})
 	}
@@ -49,7 +58,7 @@
 		return s.cfg.LongPoll
 	}
 	wait = maxIdle
-	for _, at := range []time.Duration{deadline, expiry} {
+	for _, at := range []time.Duration{deadline, expiry, staleExpiry} {
 		if at > 0 {
 			wait = min(wait, max(0, at-now))
 		}
--- a/internal/registry/service/discovery.go
+++ b/internal/registry/service/discovery.go
@@ -90,7 +90,11 @@
 	if q.ResponseNonce == "" {
 		since = 0 // the controller has just connected: send everything
 	}
-	return s.state.ViewSince(since), s.stagedFor(controller), s.changed
+	update = s.state.ViewSince(since)
+	if !q.EndsStale {
+		update.AllowStale = nil // the controller would answer without an end
+	}
+	return update, s.stagedFor(controller), s.changed
 }
 
 // stagedFor returns the versions of which a controller must have copies loaded, sorted. The caller
@@ -133,6 +137,7 @@
 		Since:       update.Since,
 		Resources:   aliasesOf(update),
 		LeaseMS:     milliseconds(update.LeaseDuration),
+		StaleMS:     milliseconds(update.StaleDuration),
 		SettleMS:    milliseconds(update.SettleTimeout),
 		Condemned:   update.Condemned,
 		AllowStale:  slices.Sorted(maps.Keys(update.AllowStale)),
--- a/internal/registry/service/golden_test.go
+++ b/internal/registry/service/golden_test.go
@@ -21,15 +21,17 @@
 	"kitehub/internal/store"
 )
 
-// Directories of the current format, and of format 1, which has no settings.
+// Directories of the current format; of format 1, which has no settings; and of format 2, whose
+// settings have no end of the policy stale.
 const (
 	goldenDir        = "testdata/golden/folder"
 	goldenDirFormat1 = "testdata/golden/folder-format1"
+	goldenDirFormat2 = "testdata/golden/folder-format2"
 )
 
 // goldenSettings are longer than any run of the tests, so that only the manual clock makes anything
 // due.
-var goldenSettings = registry.Settings{LeaseDuration: time.Hour, MaxClockDrift: 0.01, SettleTimeout: time.Minute, StagingTimeout: time.Hour, Retention: time.Hour, AutoRollbackWindow: 2 * time.Hour, MinCalls: 10, MaxErrorIncrease: 0.2,
+var goldenSettings = registry.Settings{LeaseDuration: time.Hour, StaleDuration: time.Second, MaxClockDrift: 0.01, SettleTimeout: time.Minute, StagingTimeout: time.Hour, Retention: time.Hour, AutoRollbackWindow: 2 * time.Hour, MinCalls: 10, MaxErrorIncrease: 0.2,
 	MaxModels: 10, MaxVersions: 20, MaxAliases: 5, MaxControllers: 5, MaxRemembered: 1000}
 
 // A scenario runs a registry through a sequence of steps, each of which ends before the next
@@ -178,8 +180,9 @@
 	s.commit(registry.Promote{Model: "m", Alias: "canary", To: "v3", Copies: 2, By: "ann", Reason: "no copies will stand"})
 	s.confirm(time.Hour, 2)
 	s.awaitEnd(6, "given up") // by a tick that the service commits itself
-	s.confirm(2*time.Minute, 5)
-	// The service confirms the epoch itself, as earlier leases have expired.
+	s.confirm(2*time.Minute, 6)
+	// The service confirms the epoch itself, and the policy fresh before it, as earlier leases have
+	// expired.
 	s.awaitEnd(4, "acknowledged")
 	s.commit(registry.Condemn{Model: "m", Version: "v4", By: "bob", Reason: unusualText})
 	s.commit(registry.Collect{Except: []registry.VersionRef{{Model: "m", Version: "v3"}, {Model: "m", Version: "gone"}}, By: "ann", Reason: "room"})
@@ -303,17 +306,26 @@
 // A directory of format 1 yields the same state as it did when that format was current. Opening it
 // adds the settings to the log, once, and keeps every record that it has.
 func TestGoldenFormat1Opens(t *testing.T) {
-	s := &scenario{t: t, clock: clock.NewManual(time.Unix(1_900_000_000, 0)), dir: copyOf(t, goldenDirFormat1)}
-	snapshot, records := payloads(t, goldenDirFormat1)
-	goldenfile.Compare(t, "snapshot-format1.json", append(bytes.Clone(snapshot), '\n'))
-	goldenfile.Compare(t, "records-format1.jsonl", append(bytes.Join(records, []byte("\n")), '\n'))
+	testEarlierFormatOpens(t, goldenDirFormat1, "format1", recordsBeforeSnapshotFormat1)
+}
+
+// The same for a directory of format 2: no migration that was acknowledged then waits again.
+func TestGoldenFormat2Opens(t *testing.T) {
+	testEarlierFormatOpens(t, goldenDirFormat2, "format2", recordsBeforeSnapshot)
+}
+
+func testEarlierFormatOpens(t *testing.T, dir, format string, recordsBeforeSnapshot uint64) {
+	s := &scenario{t: t, clock: clock.NewManual(time.Unix(1_900_000_000, 0)), dir: copyOf(t, dir)}
+	snapshot, records := payloads(t, dir)
+	goldenfile.Compare(t, "snapshot-"+format+".json", append(bytes.Clone(snapshot), '\n'))
+	goldenfile.Compare(t, "records-"+format+".jsonl", append(bytes.Join(records, []byte("\n")), '\n'))
 	recovered := s.open(1000, nil)
-	goldenfile.Compare(t, "state.json", stateOf(t, s.Service))
+	goldenfile.Compare(t, "state-before-format3.json", stateOf(t, s.Service))
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if recovered.SnapshotSeq != recordsBeforeSnapshotFormat1 || recovered.ReplayedRecords != len(records) || recovered.DiscardedBytes != 0 {
-		t.Errorf("recovered: %+v, want %d records after %d", *recovered, len(records), recordsBeforeSnapshotFormat1)
+	if recovered.SnapshotSeq != recordsBeforeSnapshot || recovered.ReplayedRecords != len(records) || recovered.DiscardedBytes != 0 {
+		t.Errorf("recovered: %+v, want %d records after %d", *recovered, len(records), recordsBeforeSnapshot)
 	}
 	newSnapshot, newRecords := payloads(t, s.dir)
 	if !bytes.Equal(newSnapshot, snapshot) || len(newRecords) != len(records)+1 || !reflect.DeepEqual(newRecords[:len(records)], records) {
@@ -323,7 +335,7 @@
 	if again.ReplayedRecords != len(records)+1 {
 		t.Errorf("second start: %d records, want %d", again.ReplayedRecords, len(records)+1)
 	}
-	goldenfile.Compare(t, "state.json", stateOf(t, s.Service))
+	goldenfile.Compare(t, "state-before-format3.json", stateOf(t, s.Service))
 	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/registry/service/query.go
+++ b/internal/registry/service/query.go
@@ -39,12 +39,19 @@
 	return success(200, resp)
 }
 
-// list returns the models, or only the one that the query names, and the lease holders.
+// list returns the models, or only the one that the query names, and the controllers: those that
+// hold a lease, and those that may answer without one.
 func (h *Handler) list(q wire.Query, resp *wire.Response) {
 	h.service.Inspect(func(now time.Duration, state *registry.State, leases *registry.Leases) {
 		resp.Epoch = state.Epoch
 		resp.ConfirmedEpoch = state.ConfirmedEpoch
 		resp.Holders = leases.Holders(now)
+		for name, remaining := range leases.WithoutLease(now) {
+			if resp.WithoutLease == nil {
+				resp.WithoutLease = map[string]int64{}
+			}
+			resp.WithoutLease[name] = remaining.Milliseconds()
+		}
 		for _, m := range state.Models {
 			if q.Model != "" && q.Model != m.Name {
 				continue
--- a/internal/registry/service/recover.go
+++ b/internal/registry/service/recover.go
@@ -12,19 +12,29 @@
 
 // snapshotFormat is the number of the format of snapshots. Those of format 1 have neither a number
 // nor settings.
-const snapshotFormat = 2
+const snapshotFormat = 3
+
+// snapshotFormat2 has settings without Settings.StaleDuration.
+const snapshotFormat2 = 2
 
 // A snapshot is the stored form of a state with its settings. Its JSON is a storage format.
 type snapshot struct {
 	Format   int                `json:"Format,omitempty"`
 	Settings *registry.Settings `json:"Settings,omitempty"`
-	// EarlierLeasesUntil is that of the state.
+	// EarlierLeasesUntil and EarlierStaleUntil are those of the state.
 	EarlierLeasesUntil time.Duration `json:"EarlierLeasesUntil,omitempty"`
+	EarlierStaleUntil  time.Duration `json:"EarlierStaleUntil,omitempty"`
 	*registry.State
 }
 
 func marshalSnapshot(state *registry.State) ([]byte, error) {
-	return json.Marshal(snapshot{snapshotFormat, &state.Settings, state.EarlierLeasesUntil, state})
+	return json.Marshal(snapshot{
+		Format:             snapshotFormat,
+		Settings:           &state.Settings,
+		EarlierLeasesUntil: state.EarlierLeasesUntil,
+		EarlierStaleUntil:  state.EarlierStaleUntil,
+		State:              state,
+	})
 }
 
 // ErrOtherSettings is wrapped by the error of Open for a log that cannot have been written under
@@ -52,16 +62,17 @@
 
 // restore restores the state from a snapshot.
 func (r *recovery) restore(_ uint64, text []byte) error {
-	settings := r.state.Settings
+	settings := withoutStaleEnd(r.state.Settings)
 	decoded := snapshot{Settings: &settings, State: r.state}
 	if err := json.Unmarshal(text, &decoded); err != nil {
 		return err
 	}
 	switch decoded.Format {
 	case 0: // format 1
-	case snapshotFormat:
+	case snapshotFormat2, snapshotFormat:
 		r.state.Settings = settings
 		r.state.EarlierLeasesUntil = decoded.EarlierLeasesUntil
+		r.state.EarlierStaleUntil = decoded.EarlierStaleUntil
 		r.hasSettings = true
 	default:
 		return fmt.Errorf("snapshot: format %d is not known, the newest known one is %d", decoded.Format, snapshotFormat)
@@ -82,7 +93,7 @@
 		r.pending = append(r.pending, p)
 		return nil
 	}
-	r.state.Settings = p.ChangeSettings.Settings
+	r.state.Settings = withoutStaleEnd(p.ChangeSettings.Settings)
 	r.hasSettings = true
 	if err := r.applyPending(); err != nil {
 		return err
@@ -117,15 +128,22 @@
 // at recovery shows that the recovered state is not the one that it was committed to.
 func neverRejected(command registry.Command) bool {
 	switch command.(type) {
-	case registry.EpochConfirmed, registry.ChangeSettings:
+	case registry.EpochConfirmed, registry.StaleEnded, registry.ChangeSettings:
 		return true
 	}
 	return false
 }
 
+// withoutStaleEnd returns the settings as they apply to records of earlier versions, which did not
+// wait for answers without a lease.
+func withoutStaleEnd(settings registry.Settings) registry.Settings {
+	settings.StaleDuration = 0
+	return settings
+}
+
 // recoverState opens the log and restores the state from it.
 func recoverState(cfg Config) (*recovery, *store.Log, *store.Recovered, error) {
-	state, err := registry.New(cfg.Settings)
+	state, err := registry.New(withoutStaleEnd(cfg.Settings))
 	if err != nil {
 		return nil, nil, nil, err
 	}
--- a/internal/registry/service/service.go
+++ b/internal/registry/service/service.go
@@ -48,6 +48,9 @@
 		return fmt.Errorf("service: snapshot interval %d is below 1, or long poll %v is not above 0 and at most a third of the lease of %v",
 			c.SnapshotInterval, c.LongPoll, c.Settings.LeaseDuration)
 	}
+	if c.Settings.StaleDuration <= 0 {
+		return fmt.Errorf("service: the time %v of answers without a lease is not above 0", c.Settings.StaleDuration)
+	}
 	return nil
 }
 
--- a/internal/registry/service/service_test.go
+++ b/internal/registry/service/service_test.go
@@ -23,6 +23,7 @@
 
 var settings = registry.Settings{
 	LeaseDuration:      400 * ms,
+	StaleDuration:      600 * ms,
 	MaxClockDrift:      0.01,
 	SettleTimeout:      200 * ms,
 	StagingTimeout:     2 * time.Second,
@@ -54,19 +55,20 @@
 // A testRegistry is a registry's process that can be killed and restarted on its directory and
 // port.
 type testRegistry struct {
-	t    testing.TB
-	fs   store.FS
-	addr string
-	s    *service.Service
-	ln   net.Listener
-	srv  *http1.Server
+	t        testing.TB
+	settings registry.Settings
+	fs       store.FS
+	addr     string
+	s        *service.Service
+	ln       net.Listener
+	srv      *http1.Server
 }
 
 // start runs the process, on its previous port if it had one.
 func (r *testRegistry) start() {
 	r.t.Helper()
 	s, _, err := service.Open(service.Config{
-		Settings:         settings,
+		Settings:         r.settings,
 		Clock:            clock.System(),
 		FS:               r.fs,
 		Log:              zerolog.Nop(),
@@ -100,8 +102,11 @@
 }
 
 // open starts a registry for a test.
-func open(t testing.TB, fs store.FS) *testRegistry {
-	r := &testRegistry{t: t, fs: fs}
+func open(t testing.TB, fs store.FS) *testRegistry { return openWith(t, fs, settings) }
+
+// openWith starts a registry with other settings.
+func openWith(t testing.TB, fs store.FS, settings registry.Settings) *testRegistry {
+	r := &testRegistry{t: t, settings: settings, fs: fs}
 	r.start()
 	t.Cleanup(func() { r.kill() })
 	return r
--- a/internal/registry/service/settings_test.go
+++ b/internal/registry/service/settings_test.go
@@ -318,7 +318,7 @@
 // A snapshot of a later format is refused.
 func TestUnknownSnapshotFormat(t *testing.T) {
 	r := recovery{state: &registry.State{}}
-	if err := r.restore(1, []byte(`{"Format":3}`)); err == nil {
-		t.Error("a snapshot of format 3 was restored")
+	if err := r.restore(1, fmt.Appendf(nil, `{"Format":%d}`, snapshotFormat+1)); err == nil {
+		t.Errorf("a snapshot of format %d was restored", snapshotFormat+1)
 	}
 }
--- a/internal/registry/settings.go
+++ b/internal/registry/settings.go
@@ -5,12 +5,17 @@
 	"time"
 )
 
-// Settings bound a registry. All must be above 0, except MaxClockDrift, which may be 0. The keys in
+// Settings bound a registry. All must be above 0, except MaxClockDrift and StaleDuration, which may
+// be 0. The keys in
 // the tags are a storage format; durations are stored in nanoseconds.
 type Settings struct {
 	// LeaseDuration is how long, by its own clock, a controller may answer after it sent the
 	// request that renewed its lease.
 	LeaseDuration time.Duration `json:"LeaseDuration"`
+	// StaleDuration is how long after the end of its lease a controller may answer for the models
+	// that permit it: see Model.AllowStale. It is 0 only in logs that earlier versions wrote: there
+	// the permission had no end, and nothing waited for it.
+	StaleDuration time.Duration `json:"StaleDuration,omitempty"`
 	// MaxClockDrift is the largest difference between the rates of two clocks, as a fraction: at
 	// least 0 and below 1.
 	MaxClockDrift float64 `json:"MaxClockDrift"`
@@ -64,15 +69,26 @@
 			return fmt.Errorf("registry: settings: %s: %v is not above 0", setting.name, setting.value)
 		}
 	}
+	if s.StaleDuration < 0 {
+		return fmt.Errorf("registry: settings: Stale: %v is below 0", s.StaleDuration)
+	}
 	if !(s.MaxClockDrift >= 0 && s.MaxClockDrift < 1) {
 		return fmt.Errorf("registry: settings: Drift: %v is not at least 0 and below 1", s.MaxClockDrift)
 	}
 	return nil
 }
 
-// leaseTTL is how long a lease may last by the registry's clock, if that clock runs as fast, and
-// the controller's as slowly, as the bound on their drift permits.
-func (s Settings) leaseTTL() time.Duration {
+// leaseTTL is how long a lease may last by the registry's clock.
+func (s Settings) leaseTTL() time.Duration { return s.maxElapsed(s.LeaseDuration) }
+
+// staleTTL is how long, by the registry's clock, a controller may answer with and then without a
+// lease after a renewal.
+func (s Settings) staleTTL() time.Duration { return s.maxElapsed(s.LeaseDuration + s.StaleDuration) }
+
+// maxElapsed is how much time may pass by the registry's clock while d passes at a controller, if
+// the registry's clock runs as fast, and the controller's as slowly, as the bound on their drift
+// permits.
+func (s Settings) maxElapsed(d time.Duration) time.Duration {
 	drift := s.MaxClockDrift
-	return time.Duration(float64(s.LeaseDuration)*(1+drift)/(1-drift)) + 1
+	return time.Duration(float64(d)*(1+drift)/(1-drift)) + 1
 }
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -25,16 +25,22 @@
 	// EarlierLeasesUntil is how long controllers may hold leases that were granted under earlier
 	// settings, if these leases were longer; 0 if they never were. It is stored beside the state.
 	EarlierLeasesUntil time.Duration `json:"-"`
+	// EarlierStaleUntil is the same for answers without a lease, by the policy stale.
+	EarlierStaleUntil time.Duration `json:"-"`
 }
 
 // A Model has versions and aliases, each indexed by name.
 type Model struct {
 	Name string `json:"Name"`
 	// AllowStale permits answers while a controller has no lease: for this model an answer under an
-	// alias that may have migrated is better than none.
+	// alias that may have migrated is better than none. The permission ends Settings.StaleDuration
+	// after the lease.
 	AllowStale bool                `json:"Stale"`
 	Versions   map[string]*Version `json:"Versions"`
 	Aliases    map[string]*Alias   `json:"Aliases"`
+	// FreshEpoch is the epoch in which AllowStale was last taken back, as long as a controller may
+	// still answer by the earlier policy, and 0 otherwise. No migration is acknowledged meanwhile.
+	FreshEpoch uint64 `json:"FreshEpoch,omitempty"`
 }
 
 // Phase is the stage of a version's life cycle. The numbers are stored in snapshots.
@@ -108,6 +114,9 @@
 	Model     string `json:"Model"`
 	Alias     string `json:"Alias"`
 	Epoch     uint64 `json:"Epoch"`
+	// AwaitsStale says that controllers without a lease are waited for too, although the policy is
+	// stale: they may answer with bytes that are condemned.
+	AwaitsStale bool `json:"AwaitsStale,omitempty"`
 }
 
 // A MigrationEnd is the result of a migration.
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -25,6 +25,7 @@
 	Since         uint64 // Targets are the changes since this epoch; 0 if they are complete
 	Targets       map[AliasName]Target
 	AllowStale    map[string]bool // every model that permits answers without a lease; nil if none
+	StaleDuration time.Duration   // how long after the lease AllowStale permits answers
 	Condemned     []string        // every condemned digest, sorted
 	LeaseDuration time.Duration   // counted from the time at which the controller sent its request
 	SettleTimeout time.Duration   // how long calls under a superseded target may continue
@@ -42,6 +43,7 @@
 		Targets:       map[AliasName]Target{},
 		Condemned:     slices.Sorted(maps.Keys(s.Condemned)),
 		LeaseDuration: s.Settings.LeaseDuration,
+		StaleDuration: s.Settings.StaleDuration,
 		SettleTimeout: s.Settings.SettleTimeout,
 	}
 	for _, m := range s.Models {
@@ -80,6 +82,7 @@
 type View struct {
 	current  ViewUpdate    // complete: Since is 0
 	leaseEnd time.Duration // by the controller's own clock
+	staleEnd time.Duration // of answers without a lease; 0 if there never were any
 	// superseded are the targets of migrations that this controller has not confirmed yet. These
 	// migrations are not acknowledged, so calls that already run under the targets may still be
 	// answered, but no new calls start under them.
@@ -107,6 +110,9 @@
 	}
 	v.superseded = v.supersededAfter(update)
 	v.leaseEnd = max(v.leaseEnd, sentAt+update.LeaseDuration)
+	if update.StaleDuration > 0 {
+		v.staleEnd = max(v.staleEnd, sentAt+update.LeaseDuration+update.StaleDuration)
+	}
 	v.current = update
 	return true
 }
@@ -182,7 +188,7 @@
 func (v *View) Resolve(now time.Duration, alias AliasName) (Target, Verdict) {
 	target, ok := v.current.Targets[alias]
 	switch {
-	case now >= v.leaseEnd && !v.current.AllowStale[alias.Model]:
+	case now >= v.answerEnd(alias.Model):
 		return Target{}, NoLease
 	case !ok || target.Version == "":
 		return Target{}, Unknown
@@ -196,8 +202,23 @@
 // StaleModels returns the models that permit answers without a lease, sorted.
 func (v *View) StaleModels() []string { return slices.Sorted(maps.Keys(v.current.AllowStale)) }
 
-// AllowsStale reports whether a model permits answers without a lease.
-func (v *View) AllowsStale(model string) bool { return v.current.AllowStale[model] }
+// AnswerEnd returns when answers of a target must have been written, by the controller's own clock:
+// at the end of the lease, or later if the model permits answers without one and the target is not
+// superseded.
+func (v *View) AnswerEnd(alias AliasName, target Target) time.Duration {
+	if v.current.Targets[alias] != target {
+		return v.leaseEnd
+	}
+	return v.answerEnd(alias.Model)
+}
+
+// answerEnd returns when the permission to answer under the aliases of a model ends.
+func (v *View) answerEnd(model string) time.Duration {
+	if v.current.AllowStale[model] {
+		return max(v.leaseEnd, v.staleEnd)
+	}
+	return v.leaseEnd
+}
 
 // MayAnswer reports whether an answer of a target may be returned at this moment. An answer of a
 // target that is known to be superseded may not, even if the model permits answers without a lease.
@@ -210,7 +231,7 @@
 		return BeingSuperseded // requires a lease: without one the migration may already be acknowledged
 	case !isCurrent:
 		return Superseded
-	case !hasLease && !v.current.AllowStale[alias.Model]:
+	case now >= v.answerEnd(alias.Model):
 		return NoLease
 	}
 	return Allowed
--- a/internal/registry/wire/wire.go
+++ b/internal/registry/wire/wire.go
@@ -54,17 +54,20 @@
 type Response struct {
 	Migration uint64 `json:"move,omitempty"`   // started by the command; 0 if none
 	Status    string `json:"status,omitempty"` // of the migration: see registry.State.Status
-	Reason    string `json:"why,omitempty"`    // why the migration was aborted
+	Reason    string `json:"why,omitempty"`    // of the status: see registry.State.Status
 	Replayed  bool   `json:"again,omitempty"`  // the key was known, and nothing was executed again
 
 	Collected      []Collected       `json:"collected,omitempty"`
 	Epoch          uint64            `json:"epoch,omitempty"`
 	ConfirmedEpoch uint64            `json:"confirmed,omitempty"` // see registry.State.ConfirmedEpoch
 	Holders        map[string]uint64 `json:"holders,omitempty"`   // confirmed epoch by lease holder
-	Models         []json.RawMessage `json:"models,omitempty"`    // each is a registry.Model
-	History        []HistoryEntry    `json:"history,omitempty"`   // oldest first
-	Targets        []Alias           `json:"targets,omitempty"`   // changed since the queried epoch
-	State          json.RawMessage   `json:"state,omitempty"`     // a registry.State
+	// WithoutLease has the controllers that hold no lease, with how long they may still answer by
+	// the policy stale, in milliseconds.
+	WithoutLease map[string]int64  `json:"without_lease,omitempty"`
+	Models       []json.RawMessage `json:"models,omitempty"`  // each is a registry.Model
+	History      []HistoryEntry    `json:"history,omitempty"` // oldest first
+	Targets      []Alias           `json:"targets,omitempty"` // changed since the queried epoch
+	State        json.RawMessage   `json:"state,omitempty"`   // a registry.State
 }
 
 // Collected identifies a version that was removed.
@@ -113,6 +116,9 @@
 	// them.
 	VersionsInUse []registry.VersionRef `json:"uses,omitempty"`
 	Staging       []Stage               `json:"staging,omitempty"` // as in the last response
+	// EndsStale says that the controller ends answers without a lease StaleMS after the lease. Only
+	// such a controller is told the models that permit them.
+	EndsStale bool `json:"ends_stale,omitempty"`
 }
 
 // CopiesReady is the number of ready copies of a version at a worker, as reported by the worker.
@@ -142,7 +148,10 @@
 	SettleMS    float64  `json:"settle_ms"`        // milliseconds; see registry.Settings.SettleTimeout
 	Condemned   []string `json:"barred,omitempty"` // every condemned digest
 	AllowStale  []string `json:"stale,omitempty"`  // every model that permits answers without a lease
-	Stage       []Stage  `json:"stage,omitempty"`  // every version this controller is to have loaded
+	// StaleMS is how long after the lease AllowStale permits answers, in milliseconds; if it is 0,
+	// not at all.
+	StaleMS float64 `json:"stale_ms,omitempty"`
+	Stage   []Stage `json:"stage,omitempty"` // every version this controller is to have loaded
 }
 
 // An Alias with the version that it names; Version is empty if it names none.
