Registry: a controller heard again after its lease lets no replaced target finish

A controller that was cut off for longer than a lease, and heard again, answered running calls under a version whose migration had been acknowledged meanwhile, for up to settle_ms.

Cause: View.Update took every target that an update replaces for one whose migration waits for this controller; that holds only if the registry has known its lease without a break.

Change: replaced targets may finish only if the response was received within the previous lease, which ends at the registry later than at the controller.

TestSupersededWhileCutOff fails in three checks without the change and passes.

--- a/internal/harness/scalebench/models.go
+++ b/internal/harness/scalebench/models.go
@@ -100,12 +100,12 @@
 	before := liveHeap()
 	var view registry.View
 	update = s.ViewSince(0)
-	c.ApplyFull = meanCPUTime(1, func() { view.Update(0, update) })
+	c.ApplyFull = meanCPUTime(1, func() { view.Update(0, 0, update) })
 	update = registry.ViewUpdate{}
 	c.ViewBytes = liveHeap() - before
 	migrate()
 	delta := s.ViewSince(view.Epoch())
-	c.ApplyDelta = meanCPUTime(1, func() { view.Update(0, delta) })
+	c.ApplyDelta = meanCPUTime(1, func() { view.Update(0, 0, delta) })
 	if _, verdict := view.Resolve(0, registry.AliasName{Model: modelName(models - 1), Alias: aliasName}); err == nil && verdict != registry.Allowed {
 		err = fmt.Errorf("the view does not resolve its last alias: verdict %d", verdict)
 	}
--- a/internal/registry/agent/agent_test.go
+++ b/internal/registry/agent/agent_test.go
@@ -114,7 +114,8 @@
 	}
 	update.Targets[alias] = registry.Target{Version: "v1", Digest: "sha256:1", Revision: 1}
 	var view registry.View
-	view.Update(a.cfg.Clock.Now(), update)
+	now := a.cfg.Clock.Now()
+	view.Update(now, now, update)
 	a.current.Store(newGeneration(view))
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/registry/agent/poll.go
+++ b/internal/registry/agent/poll.go
@@ -136,7 +136,7 @@
 	p.lease = update.LeaseDuration
 	view := p.agent.current.Load().view
 	previousEpoch := view.Epoch()
-	if !view.Update(sentAt, update) {
+	if !view.Update(sentAt, p.agent.cfg.Clock.Now(), update) {
 		// The update is from another registry process, or out of order: request everything.
 		p.nonce = ""
 		p.sleep(minBackoff)
--- a/internal/registry/guarantee_test.go
+++ b/internal/registry/guarantee_test.go
@@ -169,7 +169,7 @@
 		return
 	}
 	c := p.controller
-	c.view.Update(p.sentAt, *p.response)
+	c.view.Update(p.sentAt, c.clock(g.now), *p.response)
 	// Otherwise calls continue, and the controller does not confirm the epoch.
 	if rapid.IntRange(0, 2).Draw(g.t, "settle") > 0 {
 		c.view = c.view.Settled()
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -394,7 +394,7 @@
 		v := &View{}
 		first := update(1, one)
 		first.Targets[withdrawn] = one
-		if !v.Update(0, first) || !v.Update(sec, update(2, two)) {
+		if !v.Update(0, 0, first) || !v.Update(sec, sec, update(2, two)) {
 			t.Fatal("an update was rejected")
 		}
 		return v
@@ -414,17 +414,57 @@
 	expect("the previous target in a settled view", &settled, 5*sec, current, one, Superseded)
 
 	v = migrated()
-	if !v.Update(2*sec, update(3, two, digestOf("1"))) {
+	if !v.Update(2*sec, 2*sec, update(3, two, digestOf("1"))) {
 		t.Error("the update that condemns the version was rejected")
 	}
 	expect("condemned bytes", v, 5*sec, current, one, Superseded)
 
 	v = migrated()
-	if v.Update(3*sec, update(1, one)) {
+	if v.Update(3*sec, 3*sec, update(1, one)) {
 		t.Error("an older epoch was accepted")
 	}
 	expect("the current target after an older update", v, 5*sec, current, two, Allowed)
-	if v.Update(3*sec, ViewUpdate{Epoch: 9, Since: 7, Targets: map[AliasName]Target{}, LeaseDuration: sec}) {
+	if v.Update(3*sec, 3*sec, ViewUpdate{Epoch: 9, Since: 7, Targets: map[AliasName]Target{}, LeaseDuration: sec}) {
 		t.Error("changes since an epoch newer than the view's were accepted")
 	}
 }
+
+// A controller that was cut off answered calls under a target whose migration had been acknowledged
+// meanwhile, once it was heard again (docs/incidents/reconnect-after-acknowledgement.md): it took
+// every replaced target for one whose migration waits for it.
+func TestSupersededWhileCutOff(t *testing.T) {
+	current := AliasName{"m", "current"}
+	one := Target{"v1", digestOf("1"), 1}
+	two := Target{"v2", digestOf("2"), 2}
+	const lease = 10 * sec
+	update := func(epoch uint64, target Target) ViewUpdate {
+		return ViewUpdate{Epoch: epoch, Targets: map[AliasName]Target{current: target}, LeaseDuration: lease, SettleTimeout: sec}
+	}
+	for _, tt := range []struct {
+		name               string
+		sentAt, receivedAt time.Duration
+		want               Verdict
+	}{
+		{"within the lease", 9 * sec, 9 * sec, BeingSuperseded},
+		{"sent within the lease and delayed", 9 * sec, lease, Superseded},
+		{"after the lease", 12 * sec, 12 * sec, Superseded},
+	} {
+		v := &View{}
+		v.Update(0, 0, update(1, one))
+		v.Update(tt.sentAt, tt.receivedAt, update(2, two))
+		if got := v.MayAnswer(tt.receivedAt, current, one); got != tt.want {
+			t.Errorf("%s: the replaced target: %v, want %v", tt.name, got, tt.want)
+		}
+		if got := v.MayAnswer(tt.receivedAt, current, two); got != Allowed {
+			t.Errorf("%s: the current target: %v", tt.name, got)
+		}
+	}
+	// A migration that was pending when the lease ended may be acknowledged too.
+	v := &View{}
+	v.Update(0, 0, update(1, one))
+	v.Update(sec, sec, update(2, two))
+	v.Update(12*sec, 12*sec, update(2, two))
+	if got := v.MayAnswer(12*sec, current, one); got != Superseded {
+		t.Errorf("a target that was being superseded when the lease ended: %v", got)
+	}
+}
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -83,8 +83,8 @@
 	current  ViewUpdate    // complete: Since is 0
 	leaseEnd time.Duration // by the controller's own clock
 	staleEnd time.Duration // of answers without a lease; 0 if there never were any
-	// superseded are the targets of migrations that this controller has not confirmed yet. These
-	// migrations are not acknowledged, so calls that already run under the targets may still be
+	// superseded are the targets of migrations that this controller has not confirmed yet and learnt
+	// of within its lease. These migrations are not acknowledged, so calls that already run under the targets may still be
 	// answered, but no new calls start under them.
 	superseded map[AliasName][]Target
 }
@@ -93,9 +93,12 @@
 // if its epoch is older than that of the View, or if it holds changes since a newer epoch; the
 // controller then requests everything.
 //
-// sentAt is when the controller sent its request, by its own clock. The lease counts from there;
-// the registry counts it from the time at which the request arrived, which is later.
-func (v *View) Update(sentAt time.Duration, update ViewUpdate) bool {
+// sentAt is when the controller sent its request, and receivedAt when it received the response, by its
+// own clock. The lease counts from sentAt; the registry counts it from the time at which the request
+// arrived, which is later. If the previous lease had ended by receivedAt, the registry may have
+// acknowledged the migrations of the update already, so calls under the replaced targets may not
+// finish.
+func (v *View) Update(sentAt, receivedAt time.Duration, update ViewUpdate) bool {
 	if update.Epoch < v.current.Epoch || update.Since > v.current.Epoch {
 		return false
 	}
@@ -108,7 +111,11 @@
 		update.Targets = targets
 		update.Since = 0
 	}
-	v.superseded = v.supersededAfter(update)
+	if receivedAt < v.leaseEnd {
+		v.superseded = v.supersededAfter(update)
+	} else {
+		v.superseded = nil
+	}
 	v.leaseEnd = max(v.leaseEnd, sentAt+update.LeaseDuration)
 	if update.StaleDuration > 0 {
 		v.staleEnd = max(v.staleEnd, sentAt+update.LeaseDuration+update.StaleDuration)
