Registry agent: the response to a rejected update grants no lease

A controller that rejected an update counted a lease from that poll, which the registry does not renew by it. Cut off right after, it could answer an old version for up to a lease after a migration that did not wait for it. Found by reading the paths that grant a permission to answer.

TestRejectionRenewsNoLease fails on the code before and passes.

--- a/internal/registry/agent/agent_test.go
+++ b/internal/registry/agent/agent_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"kitehub/internal/clock"
 	"kitehub/internal/registry"
 	"kitehub/internal/registry/wire"
@@ -45,6 +47,32 @@
 	}
 }
 
+// A controller took the response to a poll that rejected an update for a lease, which the registry
+// does not grant by such a poll: it could answer after a migration that did not wait for it.
+func TestRejectionRenewsNoLease(t *testing.T) {
+	manual := clock.NewManual(time.Unix(1_800_000_000, 0))
+	a := &Agent{cfg: Config{Clock: manual, Log: zerolog.Nop()}, stop: make(chan struct{}), reports: newReports()}
+	a.current.Store(newGeneration(registry.View{}))
+	p := &poller{agent: a, nack: &wire.ErrorDetail{Message: "rejected"}}
+	alias := registry.AliasName{Model: "m", Alias: "current"}
+	target := registry.Target{Version: "v", Revision: 1}
+	update := registry.ViewUpdate{
+		Epoch:         1,
+		Targets:       map[registry.AliasName]registry.Target{alias: target},
+		AllowStale:    map[string]bool{"m": true},
+		LeaseDuration: time.Second,
+		StaleDuration: time.Second,
+	}
+	p.accept(manual.Now(), update, &wire.DiscoveryResponse{})
+	if v := a.MayAnswer(alias, target); v != registry.NoLease {
+		t.Errorf("after the response to a rejection: %v", v)
+	}
+	p.accept(manual.Now(), update, &wire.DiscoveryResponse{})
+	if v := a.MayAnswer(alias, target); v != registry.Allowed {
+		t.Errorf("after the next response: %v", v)
+	}
+}
+
 // A generation becomes idle once it was replaced and the answers that it admitted are written. It
 // admits no answers afterwards.
 func TestGenerationBecomesIdle(t *testing.T) {
--- a/internal/registry/agent/poll.go
+++ b/internal/registry/agent/poll.go
@@ -131,9 +131,13 @@
 // lease must be renewed.
 func (p *poller) accept(sentAt time.Duration, update registry.ViewUpdate, resp *wire.DiscoveryResponse) {
 	p.failures = 0
-	p.nack = nil
 	p.leaseEndLogged = false
 	p.lease = update.LeaseDuration
+	if p.nack != nil { // the registry renews no lease by a poll that rejects an update
+		update.LeaseDuration = 0
+		update.StaleDuration = 0
+		p.nack = nil
+	}
 	view := p.agent.current.Load().view
 	previousEpoch := view.Epoch()
 	if !view.Update(sentAt, p.agent.cfg.Clock.Now(), update) {
