Answers: a stop between check and write does not extend the permission to answer

An answer that was admitted before a stop of the process could be written after it, although the lease had ended meanwhile: the time for the write began when its deadline was set, after the check.

It counts from before the check now, over HTTP and JSON-RPC.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -124,6 +124,8 @@
 // writeResponse writes a response, or the replacement that its BeforeWrite returns. It returns
 // false if the connection ends.
 func (c *Conn) writeResponse(req *Request, resp *Response) bool {
+	// The time counts from before BeforeWrite, so that a stop of the process after it extends nothing.
+	begin := time.Now()
 	timeout := c.limits.WriteTimeout
 	var written func()
 	if resp.BeforeWrite != nil {
@@ -138,7 +140,7 @@
 	}
 	resp.Close = resp.Close || req.Close || c.server.stopping()
 	c.writeBuffer = AppendResponse(c.writeBuffer[:0], resp, req.Method == "HEAD")
-	c.SetWriteDeadline(time.Now().Add(timeout))
+	c.SetWriteDeadline(begin.Add(timeout))
 	_, err := c.Conn.Write(c.writeBuffer)
 	if cap(c.writeBuffer) > maxIdleWriteBuffer {
 		c.writeBuffer = nil
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -87,8 +87,8 @@
 	Body   []byte
 	Close  bool // the connection ends after this exchange
 	// BeforeWrite, if set, is called by the server just before it writes the first byte. It returns
-	// a response to write instead (nil: write this one), a bound on the duration of the write (0:
-	// only Limits.WriteTimeout applies), and a function to call when the write has ended (nil:
+	// a response to write instead (nil: write this one), how long after the call the write must
+	// have ended (0: only Limits.WriteTimeout applies), and a function to call when the write has ended (nil:
 	// none).
 	BeforeWrite func() (replacement *Response, timeout time.Duration, done func())
 	// HandOver hands the connection over together with its unanswered request: see Server.Detach.
--- a/internal/http1/server_test.go
+++ b/internal/http1/server_test.go
@@ -354,3 +354,20 @@
 	}
 	<-done
 }
+
+// A process that stands still between the permission to write and the write must not write once the
+// permission has ended: an answer of a version whose migration was acknowledged meanwhile went out.
+func TestStopAfterBeforeWriteExtendsNothing(t *testing.T) {
+	const permitted = 20 * time.Millisecond
+	addr := serve(t, &Server{Handler: HandlerFunc(func(*Conn, *Request) *Response {
+		return &Response{Status: 200, BeforeWrite: func() (*Response, time.Duration, func()) {
+			time.Sleep(permitted) // as if the process were stopped after the check
+			return nil, permitted, nil
+		}}
+	})})
+	c, br := dial(t, addr)
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if b, err := br.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("read %q %v, want the connection closed without a byte", b, err)
+	}
+}
--- a/internal/ingress/jsonrpc/write.go
+++ b/internal/ingress/jsonrpc/write.go
@@ -97,11 +97,13 @@
 func (c *conn) complete() bool { return c.ended || c.draining && c.unwrittenCalls == 0 }
 
 func (c *conn) writeOne(r response) error {
+	// The time counts from before render, so that a stop of the process after it extends nothing.
+	begin := time.Now()
 	text, timeout, done := r.render()
 	if timeout == 0 || timeout > c.server.cfg.WriteTimeout {
 		timeout = c.server.cfg.WriteTimeout
 	}
-	c.socket.SetWriteDeadline(time.Now().Add(timeout))
+	c.socket.SetWriteDeadline(begin.Add(timeout))
 	_, err := c.socket.Write(append(text, '\n'))
 	if done != nil {
 		done()
