Hooks: walks over shared values are charged as they go, so that a run always ends

Cause: what a comparison is charged was computed by walking the value as a tree, 2^60 entries, before anything was charged; so neither fuel nor Limits.Stop ended it. Evidence: the runs are logged as not returning, and a stack sample at depth 60 is inside traversalCost. The comparison itself and the texts of trace and REPL walk the same tree.

Change: no cost in advance. Each walk charges an entry when it reaches it; formatting stops at the length that is shown; a state is bounded as a tree, keys included. It works because the limits of the run apply to each step of the walk.

--- a/internal/hooklang/cost.go
+++ b/internal/hooklang/cost.go
@@ -118,7 +118,9 @@
 			iterations = max(0, float64(to.value.bits)-float64(from.value.bits))
 		}
 	}
-	cost += iterations * (k.block(s.body) + 3)
+	if body := k.block(s.body) + 3; iterations > 0 { // the body may cost infinitely much
+		cost += iterations * body
+	}
 	k.noteReason(cost, fmt.Sprintf("the loop of line %d, run %g times", s.pos.Line, iterations))
 	return cost
 }
@@ -151,7 +153,7 @@
 		cost += k.expr(e.operand)
 	case *binaryExpr:
 		cost += k.expr(e.left) + k.expr(e.right)
-		if t := e.right.typ(); e.op == "in" && t.name == "list" || e.op == "+" && t.isCollection() {
+		if t := e.right.typ(); visitsEntries(e.op, t) {
 			cost += assumedLength
 		}
 	case *listExpr:
@@ -171,6 +173,17 @@
 	return cost
 }
 
+// visitsEntries reports whether a binary operator visits the entries of its right operand of type t.
+func visitsEntries(operator string, t *Type) bool {
+	switch operator {
+	case "in":
+		return t.name == "list"
+	case "+", "==", "!=":
+		return t.isCollection()
+	}
+	return false
+}
+
 func (k *costEstimator) call(e *callExpr) float64 {
 	cost := 1.0
 	for i, arg := range e.args {
--- a/internal/hooklang/library.go
+++ b/internal/hooklang/library.go
@@ -77,7 +77,9 @@
 			n := int64(len(a[0].object.items))
 			vm.chargeFuel(n * int64(1+math.Log2(float64(n+1))))
 			if t == typeString {
-				vm.chargeFuel(traversalCost(a[0]))
+				for _, e := range a[0].object.items {
+					vm.chargeVisit(e.object)
+				}
 			}
 			o := vm.cloneCollection(a[0].object)
 			slices.SortStableFunc(o.items, func(x, y Value) int { return compare(t, x, y) })
--- a/internal/hooklang/session.go
+++ b/internal/hooklang/session.go
@@ -7,6 +7,9 @@
 // maxShownBytes is the length at which a Step cuts the text of a value.
 const maxShownBytes = 60
 
+// maxEvalBytes is the length at which a Session cuts the text of a value.
+const maxEvalBytes = 64 << 10
+
 // Step is one step of a trace: a line that is about to be executed.
 type Step struct {
 	Function string
@@ -45,7 +48,7 @@
 		if !inScope || locals[v.slot].object == nil && isReference(v.valueType) {
 			continue
 		}
-		vars = append(vars, v.name+" = "+truncate(formatValue(v.valueType, locals[v.slot]), maxShownBytes))
+		vars = append(vars, v.name+" = "+truncate(formatPrefix(v.valueType, locals[v.slot], maxShownBytes), maxShownBytes))
 	}
 	return vars
 }
@@ -121,5 +124,6 @@
 	}
 	body := parsed.tests[len(parsed.tests)-1].body.stmts
 	last := body[len(body)-1].(*letStmt)
-	return formatValue(last.value.typ(), captured[len(captured)-fn.slots+last.slot]), nil
+	value := captured[len(captured)-fn.slots+last.slot]
+	return truncate(formatPrefix(last.value.typ(), value, maxEvalBytes), maxEvalBytes), nil
 }
--- a/internal/hooklang/state.go
+++ b/internal/hooklang/state.go
@@ -44,7 +44,7 @@
 	for i, v := range s.program.state {
 		other := o.program.state[i]
 		if v.name != other.name || !sameType(v.valueType, other.valueType) ||
-			!equal(v.valueType, s.values[i], o.values[i]) {
+			!bytes.Equal(encode(nil, v.valueType, s.values[i]), encode(nil, v.valueType, o.values[i])) {
 			return false
 		}
 	}
--- a/internal/hooklang/value.go
+++ b/internal/hooklang/value.go
@@ -4,9 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
-	"strconv"
 	"strings"
-	"time"
 )
 
 // Type is a type of the language: bool, int, float, duration, string, list[T], map[K]V or a record
@@ -150,51 +148,6 @@
 	return Value{}
 }
 
-// traversalCost returns an upper bound on the fuel for comparing or copying a value.
-func traversalCost(v Value) int64 {
-	if v.object == nil {
-		return 0
-	}
-	n := int64(len(v.object.text)/16 + len(v.object.items) + len(v.object.keys))
-	for _, e := range v.object.items {
-		if e.object != nil {
-			n += traversalCost(e)
-		}
-	}
-	return n
-}
-
-// equal reports whether two values of type t are equal.
-func equal(t *Type, a, b Value) bool {
-	switch {
-	case t == typeFloat:
-		return a.float() == b.float()
-	case t == typeString:
-		return a.str() == b.str()
-	case t.record != nil:
-		for i, f := range t.record.Fields {
-			if !equal(f.Type, a.object.items[i], b.object.items[i]) {
-				return false
-			}
-		}
-		return true
-	case t.isCollection():
-		if len(a.object.items) != len(b.object.items) {
-			return false
-		}
-		for i := range a.object.items {
-			if t.key != nil && !equal(t.key, a.object.keys[i], b.object.keys[i]) {
-				return false
-			}
-			if !equal(t.elem, a.object.items[i], b.object.items[i]) {
-				return false
-			}
-		}
-		return true
-	}
-	return a.bits == b.bits
-}
-
 // compare compares two values of an ordered type, as cmp.Compare does.
 func compare(t *Type, a, b Value) int {
 	switch t {
@@ -215,107 +168,3 @@
 	}
 	return slices.BinarySearchFunc(o.keys, k.bits, func(v Value, n int64) int { return cmp.Compare(v.bits, n) })
 }
-
-// formatValue returns a value in the syntax of the language.
-func formatValue(t *Type, v Value) string {
-	switch {
-	case t == typeString:
-		return quote(v.str())
-	case t == typeBool:
-		return strconv.FormatBool(v.bits != 0)
-	case t == typeFloat:
-		return floatText(v.float())
-	case t == typeDuration:
-		return durationText(time.Duration(v.bits))
-	case t.record != nil:
-		var b strings.Builder
-		b.WriteString(t.name + "{")
-		for i, f := range t.record.Fields {
-			if i > 0 {
-				b.WriteString(", ")
-			}
-			b.WriteString(f.Name + ": " + formatValue(f.Type, v.object.items[i]))
-		}
-		return b.String() + "}"
-	case t.isCollection():
-		var b strings.Builder
-		open, end := "[", "]"
-		if t.key != nil || len(v.object.items) == 0 {
-			open, end = t.String()+"{", "}"
-		}
-		b.WriteString(open)
-		for i := range v.object.items {
-			if i > 0 {
-				b.WriteString(", ")
-			}
-			if t.key != nil {
-				b.WriteString(formatValue(t.key, v.object.keys[i]) + ": ")
-			}
-			b.WriteString(formatValue(t.elem, v.object.items[i]))
-		}
-		return b.String() + end
-	case t == typeVoid:
-		return ""
-	}
-	return strconv.FormatInt(v.bits, 10)
-}
-
-// floatText returns a float as a literal, which always has a decimal point or an exponent.
-func floatText(f float64) string {
-	s := strconv.FormatFloat(f, 'g', -1, 64)
-	if !strings.ContainsAny(s, ".e") {
-		s += ".0"
-	}
-	return s
-}
-
-// durationText returns a duration as a literal that the lexer reads back unchanged.
-func durationText(d time.Duration) string {
-	if d == 0 {
-		return "0s"
-	}
-	sign := ""
-	if d < 0 {
-		sign = "-"
-	}
-	u := uint64(max(d, -d))
-	if d == math.MinInt64 {
-		u = 1 << 63
-	}
-	var b strings.Builder
-	for _, x := range []struct {
-		name string
-		n    uint64
-	}{{"h", 3600e9}, {"m", 60e9}, {"s", 1e9}, {"ms", 1e6}} {
-		if n := u / x.n; n > 0 {
-			b.WriteString(strconv.FormatUint(n, 10) + x.name)
-			u %= x.n
-		}
-	}
-	if u > 0 {
-		b.WriteString(strconv.FormatFloat(float64(u)/1e3, 'f', -1, 64) + "us")
-	}
-	return sign + b.String()
-}
-
-// quote returns a string as a literal.
-func quote(s string) string {
-	var b strings.Builder
-	b.WriteByte('"')
-	for _, r := range s {
-		switch {
-		case r == '"' || r == '\\':
-			b.WriteByte('\\')
-			b.WriteRune(r)
-		case r == '\n':
-			b.WriteString(`\n`)
-		case r == '\t':
-			b.WriteString(`\t`)
-		case r < ' ' || r == 0x7f:
-			b.WriteString(`\u{` + strconv.FormatInt(int64(r), 16) + "}")
-		default:
-			b.WriteRune(r)
-		}
-	}
-	return b.String() + `"`
-}
--- a/internal/hooklang/vm.go
+++ b/internal/hooklang/vm.go
@@ -210,13 +210,11 @@
 }
 
 // freezeState makes the changed state variables immutable, so that other goroutines may read them,
-// and charges for the traversal.
+// and charges for the traversal. It bounds them, so that a state can be saved, shown and compared.
 func (vm *VM) freezeState() {
 	for i, changed := range vm.written {
 		if changed {
-			cost := traversalCost(vm.state[i])
-			vm.chargeFuel(cost)
-			vm.checkSize(int(cost))
+			vm.chargeTree(vm.state[i], 0)
 			vm.state[i].freeze()
 		}
 	}
--- a/internal/hooklang/vmslow.go
+++ b/internal/hooklang/vmslow.go
@@ -171,17 +171,14 @@
 		vm.push(boolValue(map[opcode]bool{opLtStr: c < 0, opLeStr: c <= 0, opGtStr: c > 0, opGeStr: c >= 0}[instr.op]))
 	case opEq, opNe:
 		y, x := vm.pop(), vm.pop()
-		vm.chargeFuel(min(traversalCost(x), traversalCost(y)))
-		vm.push(boolValue(equal(vm.program.types[instr.a], x, y) == (instr.op == opEq)))
+		vm.push(boolValue(vm.equal(vm.program.types[instr.a], x, y) == (instr.op == opEq)))
 	case opInStr:
 		y, x := vm.pop().str(), vm.pop().str()
 		vm.chargeFuel(int64(len(y)) / 8)
 		vm.push(boolValue(strings.Contains(y, x)))
 	case opInList:
 		y, x := vm.pop(), vm.pop()
-		vm.chargeFuel(traversalCost(y))
-		t := vm.program.types[instr.a]
-		vm.push(boolValue(slices.ContainsFunc(y.object.items, func(v Value) bool { return equal(t, v, x) })))
+		vm.push(boolValue(vm.contains(vm.program.types[instr.a], y.object, x)))
 	case opInMap:
 		y, x := vm.pop(), vm.pop()
 		vm.chargeFuel(4)
