Hooks: calls, stop and commands do not wait for a run that does not return

The handlers of arrive run beside the call, which waits 250 ms or half of its client's time and goes on without advice; the run counts as a fault, so the circuit opens after three. Close waits 1 s, commands 5 s, and nothing is stored after a Close that gave up. The client's time counts from before the hooks.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,7 @@
 		return 0, false
 	}
 	id := scheduler.RequestID(g.nextID.Add(1))
+	c.submittedAt = g.cfg.Clock.Now() // before the hooks, whose time is the client's
 	if h := g.cfg.Hooks; h != nil {
 		c.verdict = h.CallArrived(g.hookCall(c))
 	}
@@ -176,7 +177,6 @@
 	if g.stopped {
 		return false
 	}
-	c.submittedAt = g.cfg.Clock.Now()
 	g.pendingCalls[id] = c
 	g.pendingEvents = append(g.pendingEvents, arrival(id, c))
 	return true
--- a/internal/hookengine/admit.go
+++ b/internal/hookengine/admit.go
@@ -1,24 +1,23 @@
 package hookengine
 
 import (
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"kitehub/internal/hookadvice"
 	"kitehub/internal/hooklang"
 )
 
-// Admit runs the arrival handlers of the live versions for a call, on the goroutine of the caller,
-// and returns the verdict on the call. The call counts as in flight for its tenant until CallEnded.
+// Admit runs the arrival handlers of the live versions for a call and returns the verdict on the
+// call. It waits for them for a bounded time. The call counts as in flight for its tenant until
+// CallEnded.
 func (e *Engine) Admit(c hooklang.Call) hookadvice.Verdict {
 	now := e.config.Clock.Now()
 	var advice []hooklang.Advice
 	if handlers := *e.arrivalHandlers.Load(); len(handlers) > 0 {
 		env := hooklang.Env{Now: int64(now), Wall: e.config.Clock.Wall().Unix()}
-		vm := e.vmPool.Get().(*hooklang.VM)
-		for i := range handlers {
-			advice = append(advice, e.runInline(vm, &handlers[i], c, env)...)
-		}
-		e.vmPool.Put(vm)
+		advice = e.awaitArrivalHandlers(handlers, c, env)
 		e.Counts.InlineRuns.Add(int64(len(handlers)))
 		e.Counts.InlineNanos.Add(int64(e.config.Clock.Now() - now))
 	}
@@ -34,6 +33,43 @@
 	return verdict
 }
 
+// errRunDoesNotReturn is the fault of a run that a call no longer waits for.
+var errRunDoesNotReturn = errors.New("the run does not return")
+
+// awaitArrivalHandlers runs handlers for a call on another goroutine, so that the call goes on without
+// their advice if a run does not return, which its limits should prevent. It waits for at most half
+// of the time that the client waits. Such a run counts as a fault of its script, so the circuit of
+// the script opens after a few of them.
+func (e *Engine) awaitArrivalHandlers(handlers []inlineHandler, c hooklang.Call, env hooklang.Env) []hooklang.Advice {
+	timeout := e.config.RunTimeout
+	if c.Wait > 0 {
+		timeout = min(timeout, c.Wait/2)
+	}
+	var current atomic.Int64 // index of the handler that runs
+	finished := make(chan []hooklang.Advice, 1)
+	go func() {
+		var advice []hooklang.Advice
+		vm := e.vmPool.Get().(*hooklang.VM)
+		for i := range handlers {
+			current.Store(int64(i))
+			advice = append(advice, e.runInline(vm, &handlers[i], c, env)...)
+		}
+		e.vmPool.Put(vm)
+		finished <- advice
+	}()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case advice := <-finished:
+		return advice
+	case <-timer.C:
+	}
+	h := &handlers[current.Load()]
+	run := &inlineRun{script: h.script, version: h.version, fault: errRunDoesNotReturn.Error()}
+	e.enqueue(job{point: "arrive", run: run, at: time.Duration(env.Now)})
+	return nil
+}
+
 // runInline runs one arrival handler. It queues the outcome, from which the engine's goroutine
 // updates the version's statistics and circuit and runs the shadow.
 func (e *Engine) runInline(vm *hooklang.VM, h *inlineHandler, c hooklang.Call, env hooklang.Env) []hooklang.Advice {
--- a/internal/hookengine/engine.go
+++ b/internal/hookengine/engine.go
@@ -46,8 +46,8 @@
 	BackgroundLimits hooklang.Limits
 	// InlineLimits limits a run on the goroutine of a call; default hooklang.InlineLimits.
 	InlineLimits hooklang.Limits
-	// RunTimeout limits a run on the engine's goroutine that BackgroundLimits has not ended before;
-	// default 250 ms.
+	// RunTimeout limits a run on the engine's goroutine that BackgroundLimits has not ended before,
+	// and how long a call waits for its arrival handlers; default 250 ms.
 	RunTimeout   time.Duration
 	SaveInterval time.Duration // shortest time between two saves of state; default 1 s
 }
@@ -176,13 +176,32 @@
 	return e, nil
 }
 
+const (
+	// closeTimeout bounds how long Close waits for the run in progress, which Config.RunTimeout
+	// should end far earlier.
+	closeTimeout = time.Second
+	// commandTimeout bounds how long an operator's command waits for the runs before it.
+	commandTimeout = 5 * time.Second
+)
+
+// ErrBusy is returned if the engine's goroutine is busy with a run that does not return.
+var ErrBusy = errors.New("hooks: engine is busy with a run that does not return")
+
 // Close stops the engine and stores the states of its scripts. It returns the error that stopped
-// the engine from storing, if any.
+// the engine from storing, if any, or ErrBusy; in that case nothing is stored any more.
 func (e *Engine) Close() error {
 	e.stopOnce.Do(func() { close(e.stop) })
-	<-e.done
-	e.monitor.stop()
-	return e.storeErr
+	defer e.monitor.stop()
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-e.done:
+		return e.storeErr
+	case <-timer.C:
+		// A successor may use the store from now on.
+		e.killed.Store(true)
+		return ErrBusy
+	}
 }
 
 // Kill stops the engine like a crash of the process would: what is not stored yet is lost. It is
@@ -226,14 +245,18 @@
 }
 
 // runOnEngine runs f on the engine's goroutine and waits for it. It returns an error if the engine
-// has stopped.
+// has stopped, or ErrBusy if its goroutine does not get to f.
 func (e *Engine) runOnEngine(f func()) error {
 	finished := make(chan struct{})
+	timer := time.NewTimer(commandTimeout)
+	defer timer.Stop()
 	select {
 	case e.commands <- func() { f(); close(finished) }:
 		<-finished
 		return nil
 	case <-e.done:
 		return errors.New("hooks: engine is stopped")
+	case <-timer.C:
+		return ErrBusy
 	}
 }
--- a/internal/hookengine/run.go
+++ b/internal/hookengine/run.go
@@ -171,7 +171,10 @@
 	if point == "arrive" {
 		limits = e.config.InlineLimits
 	}
-	limits.Stop = func() bool { return time.Since(start) > e.config.RunTimeout }
+	configuredStop := limits.Stop
+	limits.Stop = func() bool {
+		return time.Since(start) > e.config.RunTimeout || configuredStop != nil && configuredStop()
+	}
 	env := hooklang.Env{Now: int64(e.config.Clock.Now()), Wall: e.config.Clock.Wall().Unix()}
 	monitored := e.monitor.begin(loaded.script, loaded.version, point)
 	result, err := e.vm.Run(loaded.program, point, event, loaded.state, env, limits)
--- a/internal/hookengine/storage.go
+++ b/internal/hookengine/storage.go
@@ -105,7 +105,7 @@
 // appendRecord stores a record, and a snapshot if one is due. After an error hooks continue to run,
 // but nothing more is stored.
 func (e *Engine) appendRecord(r record) {
-	if e.log == nil || e.storeErr != nil {
+	if e.log == nil || e.storeErr != nil || e.killed.Load() {
 		return
 	}
 	text, err := json.Marshal(r)
