Scheduler: products are rounded before sums, so that arm64 decides as amd64

The listing of outlier.go:137 had a product by a power of two left; converting the random draw too leaves none.

On arm64 the recorded digits are the same now: TestActionsEqualRecording passed, failed before. On amd64 the conversions change nothing; not run there, as this machine is arm64.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -78,5 +78,5 @@
 // admitted, up to the longest delay that clients follow. It makes one random draw, so that clients
 // that are rejected together do not return together.
 func (a *admission) retryAfter(longest time.Duration, random *rand.Rand) time.Duration {
-	return seconds(longest.Seconds() * (1 - a.fraction) * (1 - jitter*random.Float64()))
+	return seconds(longest.Seconds() * (1 - a.fraction) * (1 - float64(jitter*random.Float64())))
 }
--- a/scheduler/copies.go
+++ b/scheduler/copies.go
@@ -47,7 +47,7 @@
 
 // observe takes in a response from a worker at which a copy was believed to be loaded.
 func (e *evictions) observe(evicted bool) {
-	e.fraction *= 1 - evictionWeight
+	e.fraction = float64(e.fraction * (1 - evictionWeight))
 	if evicted {
 		e.fraction += evictionWeight
 	}
--- a/scheduler/loadbudget.go
+++ b/scheduler/loadbudget.go
@@ -81,7 +81,7 @@
 }
 
 // limit returns how many orders are allowed within a window, given the requests counted in it.
-func (b *loadBudget) limit() float64 { return b.free + b.ratio*float64(b.arrivals.Len()) }
+func (b *loadBudget) limit() float64 { return b.free + float64(b.ratio*float64(b.arrivals.Len())) }
 
 // handover returns what a process that takes over begins with.
 func (b *loadBudget) handover() BudgetHandover {
--- a/scheduler/numbers.go
+++ b/scheduler/numbers.go
@@ -14,13 +14,21 @@
 	jitter = 0.5
 )
 
+// Decisions have to be the same on every processor, so that a recorded run can be compared anywhere.
+// On some architectures, arm64 among them, the compiler fuses a product and a sum into one
+// instruction, which rounds once instead of twice. An explicit conversion of the product,
+// float64(x*y) + z, rounds it and prevents that; where products are not fused it changes nothing. It
+// is needed wherever the package adds to a product or subtracts from or with one;
+// .ci/fused-products.sh finds the places where it is missing.
+
 // ewma returns an exponentially weighted moving average after a new sample. An average of 0 has no
 // sample yet.
 func ewma(old, sample float64) float64 {
 	if old == 0 {
 		return sample
 	}
-	return old + ewmaWeight*(min(sample, maxSampleMultiple*old)-old)
+	capped := min(sample, float64(maxSampleMultiple*old))
+	return old + float64(ewmaWeight*(capped-old))
 }
 
 // seconds converts a number of seconds to a duration.
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -112,7 +112,7 @@
 // the worker's own.
 func (o *outlierDetector) onError(health *workerHealth, ownError bool, now time.Duration) {
 	if ownError {
-		o.setErrorRate(health, health.errorRate+ewmaWeight*(1-health.errorRate))
+		o.setErrorRate(health, health.errorRate+float64(ewmaWeight*(1-health.errorRate)))
 	}
 	if now >= health.avoidedUntil && health.errorRate > errorRateExcess+o.errorRates.Median(0) {
 		health.avoidedUntil = now + o.ejectionDuration(health.consecutiveEjections)
@@ -134,7 +134,7 @@
 	doublings := float64(min(previous, maxEjectionDoublings))
 	span := baseEjectionDialTimeouts * float64(o.dialTimeout) * math.Pow(2, doublings)
 	span = min(span, maxEjectionWarmups*float64(o.warmupTime))
-	return time.Duration(span * (1 + jitter*(o.random.Float64()-0.5)))
+	return time.Duration(span * (1 + float64(jitter*(float64(o.random.Float64())-0.5))))
 }
 
 func (o *outlierDetector) setEjected(health *workerHealth, ejected bool) {
--- a/scheduler/placement.go
+++ b/scheduler/placement.go
@@ -115,7 +115,7 @@
 // maySpill reports whether a request has waited long enough for its home to be worth a further
 // copy.
 func (d *Dispatcher) maySpill(request *request) bool {
-	wait := min(1, spillDelay+spillDelayPerEviction*d.evictions.fraction)
+	wait := min(1, spillDelay+float64(spillDelayPerEviction*d.evictions.fraction))
 	due := request.arrivedAt + seconds(wait*d.class(request).LatencyObjective.Seconds())
 	return d.now >= due && d.meetsObjective(request)
 }
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -319,7 +319,7 @@
 	attempt := p.attempts[a.Request]
 	p.attempts[a.Request]++
 	key := workerFunction{a.Worker, p.function[a.Request]}
-	took := time.Duration(20+p.random.ExpFloat64()*80) * ms
+	took := time.Duration(20+float64(p.random.ExpFloat64()*80)) * ms
 	r := AttemptEnded{Request: a.Request, Attempt: attempt, Worker: a.Worker, Outcome: OK, Note: FoundWarm,
 		SameFunction: p.random.IntN(3), Complete: true}
 	if p.now-p.copies[key] >= p.config.idleCopyTTL {
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -133,13 +133,13 @@
 	if elapsed > 0 {
 		rate = max((s.completedWork-warmup.completedAtCredit)/max(ready(), 1)/elapsed,
 			assumedCores/s.controllers)
-		warmup.fairRate += (rate - warmup.fairRate) * (1 - remaining)
+		warmup.fairRate += float64((rate - warmup.fairRate) * (1 - remaining))
 	}
 	window := guarantees.CollapseWindow.Seconds()
 	bound := guarantees.CollapseFactor * fraction * warmup.fairRate * s.controllers * window
 	perWindow := bound / work
-	warmup.credit = warmup.credit*remaining +
-		s.capacityMultiple(perWindow)*fraction*rate*decayTime*(1-remaining)
+	warmup.credit = float64(warmup.credit*remaining) +
+		float64(s.capacityMultiple(perWindow)*fraction*rate*decayTime*(1-remaining))
 	warmup.creditAt = now
 	warmup.completedAtCredit = s.completedWork
 	return perWindow
@@ -152,7 +152,7 @@
 	factor := s.guarantees.CollapseFactor
 	root := math.Sqrt(perWindow + marginDeviations*marginDeviations/4)
 	average := math.Pow(root-marginDeviations/2, 2)
-	return min(1+collapseExcessFraction*(factor-1), factor*(average/perWindow))
+	return min(1+float64(collapseExcessFraction*(factor-1)), factor*(average/perWindow))
 }
 
 // outstandingAllowance returns how much more work may be outstanding at a worker without the use of
