Tests: a suspended script and a take-over no longer depend on the machine's speed

TestFaultyScriptIsSuspended wants the fault 'fuel'; where the run takes over 250 ms, RunTimeout ends it first ('stopped'). Traced by a RunTimeout of 1 ms, which gives exactly that failure. The engine of these tests has an hour now; the check is the same.

TestTakeOverWithOtherStateDirWritesItsWatermark did not wait for the predecessor, which may still write to the folder that the test removes. It waits for HandedOver now. That this was the cause of 'directory not empty' is taken from the code; it was not seen again.

--- a/internal/controller/handover_config_test.go
+++ b/internal/controller/handover_config_test.go
@@ -173,6 +173,7 @@
 	if _, err := os.Stat(cfg.WatermarkFile); err != nil {
 		t.Error(err)
 	}
+	<-predecessor.HandedOver() // until then it may write to the folder that the test removes
 }
 
 // A call that its client gave up was rejected although it may have run, as its class was safe. A
--- a/internal/hookengine/hooks_test.go
+++ b/internal/hookengine/hooks_test.go
@@ -162,6 +162,7 @@
 		Clock:        clk,
 		Log:          zerolog.Nop(),
 		SaveInterval: time.Nanosecond,
+		RunTimeout:   time.Hour, // so that only the fuel ends a run, however busy the machine is
 		Notify: func(n hookadvice.Notification) {
 			gateway.mu.Lock()
 			gateway.notifications = append(gateway.notifications, n)
