Registry service: what is due is decided apart from its commits

The package comment of registry says what holds for the policy stale. The tests of the registry pass.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -21,6 +21,10 @@
 // View without a lease rejects the answer. The migration is acknowledged when Leases.ConfirmedEpoch
 // reaches the epoch of its fence. docs/registry.md has the complete argument and its costs.
 //
+// A model whose policy is stale may be answered without a lease, for Settings.StaleDuration. While
+// the policy is stale nothing is promised of controllers without a lease; after it was taken back, a
+// migration also waits until Leases.StaleConfirmedEpoch reaches the epoch of that change.
+//
 // # Files
 //
 // state.go defines the data, and commands*.go the commands that change it. migration.go has the
--- a/internal/registry/service/deadlines.go
+++ b/internal/registry/service/deadlines.go
@@ -27,43 +27,45 @@
 	}
 }
 
-// commitDue commits what is due now and returns how long nothing else will be due. A commit that
-// fails is retried after Config.LongPoll.
+// commitDue commits what is due now and returns how long nothing else will be due. After a commit
+// that fails it is to be called again after Config.LongPoll.
 func (s *Service) commitDue() (wait time.Duration) {
-	now := s.now()
-	s.mu.Lock()
-	epoch := min(s.leases.ConfirmedEpoch(now), s.state.Epoch)
-	confirmed := s.state.ConfirmedEpoch
-	deadline := s.state.NextDeadline()
-	expiry := s.leases.NextExpiry(now)
-	staleEpoch := min(s.leases.StaleConfirmedEpoch(now), s.state.Epoch)
-	staleEnded := s.state.AwaitsStale(staleEpoch)
-	staleExpiry := time.Duration(0)
-	if s.state.AwaitsStale(s.state.Epoch) {
-		staleExpiry = s.leases.NextStaleExpiry(now)
-	}
-	s.mu.Unlock()
-	var err error
-	if staleEnded {
-		_, err = s.Commit(registry.StaleEnded{Epoch: staleEpoch})
-	}
-	if epoch > confirmed {
-		_, err = s.Commit(registry.EpochConfirmed{Epoch: epoch})
-	}
-	if deadline > 0 && deadline <= now {
-		_, err = s.Commit(registry.Tick{})
-		deadline = 0
-	}
-	if err != nil {
-		return s.cfg.LongPoll
+	commands, wait := s.due(s.now())
+	for _, c := range commands {
+		if _, err := s.Commit(c); err != nil {
+			return s.cfg.LongPoll
+		}
 	}
+	return wait
+}
+
+// due returns the commands that are due now, in their order, and how long no others will be.
+func (s *Service) due(now time.Duration) (commands []registry.Command, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	wait = maxIdle
-	for _, at := range []time.Duration{deadline, expiry, staleExpiry} {
+	waitUntil := func(at time.Duration) {
 		if at > 0 {
 			wait = min(wait, max(0, at-now))
 		}
 	}
-	return wait
+	latest := s.state.Epoch
+	if epoch := min(s.leases.StaleConfirmedEpoch(now), latest); s.state.AwaitsStale(epoch) {
+		commands = append(commands, registry.StaleEnded{Epoch: epoch})
+	}
+	if s.state.AwaitsStale(latest) {
+		waitUntil(s.leases.NextStaleExpiry(now))
+	}
+	if epoch := min(s.leases.ConfirmedEpoch(now), latest); epoch > s.state.ConfirmedEpoch {
+		commands = append(commands, registry.EpochConfirmed{Epoch: epoch})
+	}
+	waitUntil(s.leases.NextExpiry(now))
+	if deadline := s.state.NextDeadline(); deadline > 0 && deadline <= now {
+		commands = append(commands, registry.Tick{})
+	} else {
+		waitUntil(deadline)
+	}
+	return commands, wait
 }
 
 // wakeDeadlineLoop makes deadlineLoop check what is due. It does not wait for the check.
