--- a/internal/hooklang/hostile_test.go
+++ b/internal/hooklang/hostile_test.go
@@ -14,7 +14,7 @@
 type hostileScript struct{ name, body, want string }
 
 // readHostile reads testdata/hostile.txt and adds scripts that are too long for a text file or are
-// not valid UTF-8. head is the text that precedes each handler.
+// not valid UTF-8, or that share their values. head is the text that precedes each handler.
 func readHostile(t testing.TB) (head string, scripts []hostileScript) {
 	t.Helper()
 	text, err := os.ReadFile("testdata/hostile.txt")
@@ -30,10 +30,16 @@
 		}
 		scripts = append(scripts, hostileScript{name, body, strings.TrimSpace(want)})
 	}
+	sharedLists := nestedLists("a", 60) + nestedLists("b", 60)
 	return head, append(scripts,
 		hostileScript{"nests too deep", "log(str(" + strings.Repeat("(", 200) + "1" + strings.Repeat(")", 200) + "))", "nested more"},
 		hostileScript{"nests minus too deep", "log(str(" + strings.Repeat("- ", 2000) + "1))", "nested more"},
-		hostileScript{"is no text", "log(\"\xff\")", "UTF-8"})
+		hostileScript{"is no text", "log(\"\xff\")", "UTF-8"},
+		hostileScript{"compares shared lists", sharedLists + "if a60 == b60 { log(\"same\") }", "fuel"},
+		hostileScript{"looks for a shared list", sharedLists + "if a59 in b60 { log(\"found\") }", "fuel"},
+		hostileScript{"compares lists of shared lists", sharedLists + "if [a60] != [b60] or len([a60]) > 1 { log(\"other\") }", "fuel"},
+		hostileScript{"compares shared lists of what it appends", sharedLists + "if [a60] + [b60] == [b60, a60] { log(\"same\") }", "fuel"},
+		hostileScript{"compares a shared list with itself", sharedLists + "if a60 == a60 { log(\"same\") }", ""})
 }
 
 func TestHostile(t *testing.T) {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -468,3 +468,35 @@
 		t.Errorf("a target that was being superseded when the lease ended: %v", got)
 	}
 }
+
+// A registry of an earlier version permits answers without a lease and gives no end. Such a
+// permission is not used, as nothing waits for it to end.
+func TestStaleWithoutEndIsNoPermission(t *testing.T) {
+	current := AliasName{"m", "current"}
+	target := Target{"v1", digestOf("1"), 1}
+	for _, tt := range []struct {
+		stale time.Duration
+		now   time.Duration
+		want  Verdict
+	}{
+		{0, 9 * sec, Allowed},
+		{0, 10 * sec, NoLease},
+		{5 * sec, 14 * sec, Allowed},
+		{5 * sec, 15 * sec, NoLease},
+	} {
+		v := &View{}
+		v.Update(0, 0, ViewUpdate{
+			Epoch:         1,
+			Targets:       map[AliasName]Target{current: target},
+			AllowStale:    map[string]bool{"m": true},
+			LeaseDuration: 10 * sec,
+			StaleDuration: tt.stale,
+		})
+		if got := v.MayAnswer(tt.now, current, target); got != tt.want {
+			t.Errorf("%v for stale answers, at %v: %v, want %v", tt.stale, tt.now, got, tt.want)
+		}
+		if _, got := v.Resolve(tt.now, current); got != tt.want {
+			t.Errorf("%v for stale answers, a new call at %v: %v, want %v", tt.stale, tt.now, got, tt.want)
+		}
+	}
+}
