--- a/internal/hookengine/admit.go
+++ b/internal/hookengine/admit.go
@@ -33,41 +33,47 @@
 	return verdict
 }
 
-// errRunDoesNotReturn is the fault of a run that a call no longer waits for.
+// errRunDoesNotReturn is the fault of a run that takes longer than Config.RunTimeout.
 var errRunDoesNotReturn = errors.New("the run does not return")
 
 // awaitArrivalHandlers runs handlers for a call on another goroutine, so that the call goes on without
 // their advice if a run does not return, which its limits should prevent. It waits for at most half
-// of the time that the client waits. Such a run counts as a fault of its script, so the circuit of
-// the script opens after a few of them.
+// of the time that the client waits.
 func (e *Engine) awaitArrivalHandlers(handlers []inlineHandler, c hooklang.Call, env hooklang.Env) []hooklang.Advice {
+	finished := make(chan []hooklang.Advice, 1)
+	go func() { finished <- e.runArrivalHandlers(handlers, c, env) }()
 	timeout := e.config.RunTimeout
 	if c.Wait > 0 {
 		timeout = min(timeout, c.Wait/2)
 	}
-	var current atomic.Int64 // index of the handler that runs
-	finished := make(chan []hooklang.Advice, 1)
-	go func() {
-		var advice []hooklang.Advice
-		vm := e.vmPool.Get().(*hooklang.VM)
-		for i := range handlers {
-			current.Store(int64(i))
-			advice = append(advice, e.runInline(vm, &handlers[i], c, env)...)
-		}
-		e.vmPool.Put(vm)
-		finished <- advice
-	}()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case advice := <-finished:
 		return advice
 	case <-timer.C:
+		return nil
+	}
+}
+
+// runArrivalHandlers runs handlers for a call and returns their advice. A run that takes longer than
+// Config.RunTimeout counts as a fault of its script, so the circuit of a script whose runs do not
+// return opens after a few of them.
+func (e *Engine) runArrivalHandlers(handlers []inlineHandler, c hooklang.Call, env hooklang.Env) (advice []hooklang.Advice) {
+	var current atomic.Int64 // index of the handler that runs
+	overdue := time.AfterFunc(e.config.RunTimeout, func() {
+		h := &handlers[current.Load()]
+		run := &inlineRun{script: h.script, version: h.version, fault: errRunDoesNotReturn.Error()}
+		e.enqueue(job{point: "arrive", run: run, at: time.Duration(env.Now)})
+	})
+	defer overdue.Stop()
+	vm := e.vmPool.Get().(*hooklang.VM)
+	for i := range handlers {
+		current.Store(int64(i))
+		advice = append(advice, e.runInline(vm, &handlers[i], c, env)...)
 	}
-	h := &handlers[current.Load()]
-	run := &inlineRun{script: h.script, version: h.version, fault: errRunDoesNotReturn.Error()}
-	e.enqueue(job{point: "arrive", run: run, at: time.Duration(env.Now)})
-	return nil
+	e.vmPool.Put(vm)
+	return advice
 }
 
 // runInline runs one arrival handler. It queues the outcome, from which the engine's goroutine
--- a/internal/hookengine/busy_test.go
+++ b/internal/hookengine/busy_test.go
@@ -58,17 +58,21 @@
 // A call whose arrive handler did not return was never answered. It goes on without advice, and the
 // script's circuit opens, so that later calls do not wait.
 func TestCallGoesOnIfArriveDoesNotReturn(t *testing.T) {
-	limits, _ := blockedLimits(t)
-	e := startWithLimits(t, Config{InlineLimits: limits, RunTimeout: 20 * time.Millisecond})
-	loadScript(t, e, "stuck", "on arrive(c) {\n"+spin+"\n}", false)
-	for len(*e.arrivalHandlers.Load()) > 0 {
-		if v := e.Admit(hooklang.Call{Tenant: "t", Wait: time.Hour}); v.ShedAdvised {
-			t.Fatalf("%+v", v)
-		}
-		e.CallEnded("t")
-	}
-	if e.Counts.Faults.Load() < 3 {
-		t.Errorf("%d faults, want the circuit opened by three", e.Counts.Faults.Load())
+	for name, wait := range map[string]time.Duration{"long deadline": time.Hour, "short deadline": 10 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			limits, _ := blockedLimits(t)
+			e := startWithLimits(t, Config{InlineLimits: limits, RunTimeout: 20 * time.Millisecond})
+			loadScript(t, e, "stuck", "on arrive(c) {\n"+spin+"\n}", false)
+			for len(*e.arrivalHandlers.Load()) > 0 {
+				if v := e.Admit(hooklang.Call{Tenant: "t", Wait: wait}); v.ShedAdvised {
+					t.Fatalf("%+v", v)
+				}
+				e.CallEnded("t")
+			}
+			if e.Counts.Faults.Load() < 3 {
+				t.Errorf("%d faults, want the circuit opened by three", e.Counts.Faults.Load())
+			}
+		})
 	}
 }
 
