--- a/internal/hookengine/engine.go
+++ b/internal/hookengine/engine.go
@@ -44,7 +44,7 @@
 	QueueSize int
 	// BackgroundLimits limits a run on the engine's goroutine; default hooklang.BackgroundLimits.
 	BackgroundLimits hooklang.Limits
-	// InlineLimits limits a run on the goroutine of a call; default hooklang.InlineLimits.
+	// InlineLimits limits a run that a call waits for; default hooklang.InlineLimits.
 	InlineLimits hooklang.Limits
 	// RunTimeout limits a run on the engine's goroutine that BackgroundLimits has not ended before,
 	// and how long a call waits for its arrival handlers; default 250 ms.
@@ -69,7 +69,7 @@
 type Counts struct {
 	Posted             atomic.Int64 // events and inline runs queued
 	Dropped            atomic.Int64 // events and inline runs dropped because the queue was full
-	InlineRuns         atomic.Int64 // runs on goroutines of calls
+	InlineRuns         atomic.Int64 // runs that a call waited for
 	InlineNanos        atomic.Int64 // total duration of the inline runs, in ns
 	BackgroundRuns     atomic.Int64 // runs on the engine's goroutine
 	BackgroundNanos    atomic.Int64 // total duration of the background runs, in ns
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -84,8 +84,8 @@
 	leaseEnd time.Duration // by the controller's own clock
 	staleEnd time.Duration // of answers without a lease; 0 if there never were any
 	// superseded are the targets of migrations that this controller has not confirmed yet and learnt
-	// of within its lease. These migrations are not acknowledged, so calls that already run under the targets may still be
-	// answered, but no new calls start under them.
+	// of within its lease. These migrations are not acknowledged, so calls that already run under
+	// the targets may still be answered, but no new calls start under them.
 	superseded map[AliasName][]Target
 }
 
